Take a garbled chunked answer for an error, not a broken connection

Symptom: from the first second 17 to 59% of requests are refused though the app servers have room.

Every reset was `Invalid chunk size line`: the server had answered, on a connection that still stood. The state lines show 5 of 9 servers ejected and none in use at 8.3 s, with 11 requests held; in the good stretch none is ejected.

Ruled out: descriptors (59 of 384), CPU (0.08 s in a second), connects (none failed), turned-away requests (none).

At fault: `Broken::from` in src/net/servers.rs, which took all but hyper's parse errors of the head for the end of the connection. hyper reports bad chunks as an I/O error of its own (InvalidInput, InvalidData). One reset ejects its server at once and has it come back as cold.

Test: two such answers in the table of outcomes of tests/node.rs; without the change the keyed request that may go to that server alone gets 502.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -365,6 +365,16 @@
         }
     }
 
+    /// Who is ready and how slow the fleet is, in a few words for a log.
+    pub fn status(&self) -> String {
+        let count = |of: fn(&Server) -> bool| self.rotated().filter(|s| of(s)).count();
+        let (ejected, out) = (count(|s| s.ejected.is_some()), count(|s| !s.out.is_empty()));
+        let limits: f64 = self.rotated().map(|s| s.limit).sum();
+        let (servers, held, fleet) = (self.subset.len(), self.waiting.len(), self.fleet);
+        let limits = format!("limits {limits:.1} x {fleet:.2}");
+        format!("{held} held, {servers} servers: {ejected} ejected, {out} in use, {limits}")
+    }
+
     /// When time alone next calls for something.
     fn next_due(&self) -> Millis {
         let call = match self.call {
--- a/src/main.rs
+++ b/src/main.rs
@@ -24,7 +24,7 @@
 const STOP_WITHIN: Duration = Duration::from_millis(3500);
 /// Connections that the kernel may hold until they are accepted.
 const BACKLOG: u32 = 1024;
-/// How often idle connections are looked at.
+/// How often idle connections are looked at, and a line on the node's state is logged.
 const SWEEP: Duration = Duration::from_millis(500);
 
 fn main() -> ExitCode {
@@ -85,6 +85,8 @@
 async fn sweep(node: Rc<Node>, clients: Rc<Clients>) {
     loop {
         tokio::time::sleep(SWEEP).await;
+        log::refill();
+        log::line(format!("{} clients, {}", clients.count(), node.status()));
         node.pool.sweep();
         clients.sweep();
     }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -71,6 +71,11 @@
         let uri = Uri::from_static("/health");
         Self { class: 0, tenant: None, method: Method::GET, uri, headers, body: Bytes::new() }
     }
+
+    /// Its id, for the log.
+    pub fn txn(&self) -> &str {
+        self.headers.get(TXN).and_then(|v| v.to_str().ok()).unwrap_or("no id")
+    }
 }
 
 /// The headers that are not about one connection alone.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -239,6 +239,12 @@
         self.state.borrow().requests.values().filter(|r| r.answer.is_some()).count()
     }
 
+    /// What it holds, for the log.
+    pub fn status(&self) -> String {
+        let (connections, state) = (self.pool.held(), self.state.borrow());
+        format!("{} requests, {connections} to servers, {}", state.requests.len(), state.balancer.status())
+    }
+
     /// Fails all that is still open: the node ends, and an answer is better than a reset.
     pub fn fail_open(self: &Rc<Self>) {
         let open: Vec<RequestId> = self.state.borrow().requests.keys().copied().collect();
@@ -273,7 +279,7 @@
         reply: Option<Reply>,
     ) {
         let event = {
-            let mut state = self.state.borrow_mut();
+            let state = &mut *self.state.borrow_mut();
             let Some(open) = state.requests.get_mut(&id) else { return };
             let Some(ended) = open.attempts.get_mut(attempt) else { return };
             // Cancelled before: that was its one outcome.
@@ -281,6 +287,12 @@
                 return;
             }
             let (server, took) = (ended.server, ended.sent.elapsed().as_secs_f64() * 1000.0);
+            if outcome != Outcome::Done {
+                let host = state.hosts.get(&server).map_or("an unlisted server", |h| h.name.as_str());
+                log::trouble(|| {
+                    format!("{}: attempt {attempt} at {host}: {outcome:?}, {took:.1} ms", open.asked.txn())
+                });
+            }
             if let Some(reply) = reply {
                 give(open, Answer::Served(reply));
             }
@@ -350,6 +362,8 @@
 
     fn answer(&self, id: RequestId, answer: Answer) {
         if let Some(open) = self.state.borrow_mut().requests.get_mut(&id) {
+            let words = if matches!(answer, Answer::Refused(_)) { "refused" } else { "failed" };
+            log::trouble(|| format!("{}: {words}, attempts {}", open.asked.txn(), open.attempts.len()));
             give(open, answer);
         }
         self.drop_if_over(id);
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -2,7 +2,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::error::Error;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -20,6 +22,7 @@
 
 use super::clients::{end_to_end, Asked};
 use super::config::Config;
+use super::log;
 use super::node::{Node, Reply};
 use super::sock::{Io, Sock};
 
@@ -79,6 +82,11 @@
         }
     }
 
+    /// How many connections there are.
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
     /// Closes the idle connections to a server.
     pub fn forget(&self, server: ServerId) {
         self.idle.borrow_mut().remove(&server);
@@ -136,7 +144,11 @@
                 self.evict();
                 return Err(Outcome::NotSent);
             }
-            Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
+            Ok(Err(error)) => {
+                log::trouble(|| format!("connect to {dial}: {error}"));
+                return Err(Outcome::ConnectFailed);
+            }
+            Err(_) => return Err(Outcome::ConnectFailed),
         };
         let failed = Outcome::ConnectFailed;
         let sock = Sock::new(stream).map_err(|_| failed)?;
@@ -252,7 +264,10 @@
         match self.status {
             StatusCode::OK => (Outcome::Done, Some(self.reply)),
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if away => (Outcome::Full, None),
-            _ => (Outcome::Error, None),
+            _ => {
+                log::trouble(|| format!("answered {}", self.status));
+                (Outcome::Error, None)
+            }
         }
     }
 }
@@ -266,7 +281,11 @@
 
 impl From<hyper::Error> for Broken {
     fn from(error: hyper::Error) -> Self {
-        if error.is_parse() || error.is_parse_too_large() || error.is_parse_status() {
+        log::trouble(|| format!("answer not read: {error:?}"));
+        // Chunks that can't be read come as an I/O error of hyper's own making; the server still runs.
+        let invalid =
+            |e: &io::Error| matches!(e.kind(), io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData);
+        if error.is_parse() || error.source().and_then(|e| e.downcast_ref()).is_some_and(invalid) {
             Self::Garbled
         } else {
             Self::Link
@@ -285,7 +304,10 @@
         let body = Limited::new(body, BODY_MOST).collect().await;
         let body = body.map_err(|e| match e.downcast::<hyper::Error>() {
             Ok(error) => Broken::from(*error),
-            Err(_) => Broken::Garbled,
+            Err(e) => {
+                log::trouble(|| format!("answer not read: {e}"));
+                Broken::Garbled
+            }
         })?;
         Ok::<_, Broken>((parts, body.to_bytes()))
     };
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -55,13 +55,16 @@
 #[test]
 fn outcomes_that_may_have_run_are_repeated_only_where_that_is_harmless() {
     let away = "X-Turned-Away: 1\r\n";
-    let may_have_run: [fn() -> Say; 6] = [
+    let may_have_run: [fn() -> Say; 8] = [
         || Say::This(answer(500, "", "")),
         || Say::This(answer(503, "", "")),
         || Say::This(answer(404, "X-Turned-Away: 1\r\n", "")),
         || Say::Last(Vec::new()),
         || Say::Last(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\ncut".to_vec()),
         || Say::Last(b"HTP/banana\r\n\r\n".to_vec()),
+        // Chunks that can't be read, on a connection that stands.
+        || Say::This(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nserved\r\n".to_vec()),
+        || Say::This(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n0\r\n\r\n".to_vec()),
     ];
     for (n, first) in may_have_run.into_iter().enumerate() {
         assert_eq!(outcome("look", [1, 1], first), (200, 2), "safe, case {n}");
