Eject a server after three broken connections in a row, not after one

Symptom: 46% and then 90% of all requests are refused while the app servers run.

Requests that ended so had reached any of the nine servers, on kept connections (idle for 38 us to 196 ms, far below the keep-alive) and on new ones alike; 18 broke while they were written. Each ejected its server at once: 8 of 9 are ejected in the state line of 5.3 s, and at 7.3 s none is in use with 11 requests held, since a server that comes back from it starts as cold.

Ruled out: garbled answers (one), refused connects (none), kept connections that had gone stale, descriptors (72 of 384).

At fault: `detect_outlier` in src/balance.rs, where a single ConnectFailed or Reset meant that the process is down. Breaks now count in a row of their own, and any answer ends the row; where a process is down all connections break or are refused, at little cost. A connect that takes its whole time still ejects alone.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -129,8 +129,10 @@
     last_sent: Millis,
     /// How long its last answer took.
     last_took: Millis,
-    /// Failures in a row.
+    /// Time-outs and errors in a row.
     consecutive_failures: u32,
+    /// Refused and broken connections in a row.
+    consecutive_breaks: u32,
     /// Ejections in a row.
     ejections: u32,
     /// Ejected; looked at again from then on.
@@ -446,6 +448,7 @@
                 last_sent: f64::NEG_INFINITY,
                 last_took: 0.0,
                 consecutive_failures: 0,
+                consecutive_breaks: 0,
                 ejections: 0,
                 ejected: None,
                 down: false,
@@ -455,8 +458,8 @@
             });
             if entry.started != server.entry.started {
                 // It restarted: what was seen of the process before says nothing about this one.
-                (server.consecutive_failures, server.ejections, server.ejected, server.returned) =
-                    (0, 0, None, None);
+                (server.consecutive_failures, server.consecutive_breaks, server.ejections) = (0, 0, 0);
+                (server.ejected, server.returned) = (None, None);
             }
             if !server.listed_up() || entry.started != server.entry.started {
                 server.turn = f64::NAN;
@@ -728,15 +731,19 @@
     fn detect_outlier(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         match outcome {
-            Outcome::Done => (server.consecutive_failures, server.ejections) = (0, 0),
+            Outcome::Done => {
+                (server.consecutive_failures, server.consecutive_breaks, server.ejections) = (0, 0, 0);
+            }
             Outcome::Cancelled | Outcome::NotSent | Outcome::Full => {}
-            // A connection refused or broken tells at once that the process is down.
+            // A refusal is quick where the process is down, and takes the whole time where the way is cut.
+            Outcome::ConnectFailed if took >= 0.9 * self.set.limits.connect_timeout => self.eject(id, true),
+            // The network breaks single connections. Where the process is down all are refused or broken.
             Outcome::ConnectFailed | Outcome::Reset => {
-                // A refusal is quick where the process is down, and takes the whole time where the way is
-                // cut.
-                let cut = outcome == Outcome::ConnectFailed && took >= 0.9 * self.set.limits.connect_timeout;
-                server.down |= !cut;
-                self.eject(id, true);
+                server.consecutive_breaks += 1;
+                if server.consecutive_breaks >= OUTLIER_FAILURES {
+                    (server.consecutive_breaks, server.down) = (0, true);
+                    self.eject(id, true);
+                }
             }
             Outcome::TimedOut | Outcome::Error => {
                 server.consecutive_failures += 1;
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -212,6 +212,7 @@
         if node.dial(server) != Some(dial) {
             return (Outcome::NotSent, None);
         }
+        let idle = link.since.elapsed();
         link.sock.begin(asked.body.len());
         let request = request(method, uri, asked, end);
         let ended = timeout_at(end.into(), converse(&mut link, request)).await;
@@ -231,7 +232,11 @@
                 }
                 return heard.judge();
             }
-            Ok(Err(Broken::Link)) if whole => return (Outcome::Reset, None),
+            Ok(Err(Broken::Link)) if whole => {
+                let kind = if reused { "kept" } else { "new" };
+                log::trouble(|| format!("{kind} connection to {dial}, {idle:.1?} idle, broke"));
+                return (Outcome::Reset, None);
+            }
             Ok(Err(Broken::Garbled)) if whole => return (Outcome::Error, None),
             Ok(Err(_)) => return (Outcome::ConnectFailed, None),
             Err(_) if whole => return (Outcome::TimedOut, None),
