Keep a watch on discovery up where changes come unprompted

Symptom: at a release of the app servers a request goes to a server 0.36 s after its drain was told (578 times), one to a server that no list named, and later the node answers nothing.

The settings of the site say `Discovery: automatic`. The module then asks for nothing, as it should, and the node calls discovery at the module's word alone, so nobody ever called. The servers that the release replaced were used until they were gone: 56 turned-away and 37 timed-out attempts from 20 s on, and with the last one gone no attempt at all. Their addresses went to new servers, which is how one got a request that no list had named.

Ruled out: a watch that broke (none was begun), a late timer, a list that could not be read (nothing was logged).

At fault: src/net/node.rs, `subscribe` reached from Action::Subscribe only. With pushed discovery the node now follows it from the start and begins the next watch 100 ms after one has ended: what discovery has counts as told.

Test: `a_pushed_list_is_watched_and_watched_again` fails without the change (the node serves by the saved list).

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -28,6 +28,10 @@
 /// A watch brings a line every 2 s: a longer silence is a dead link, which TCP alone would not notice.
 const SILENCE: Duration = Duration::from_millis(3200);
 
+/// How long after a watch has ended the next is begun, where nothing else says when: what discovery has counts
+/// as told, so it is soon.
+const AGAIN: Duration = Duration::from_millis(100);
+
 /// One line of discovery.
 #[derive(Debug, Deserialize)]
 pub struct Update {
@@ -120,6 +124,14 @@
     }
 }
 
+/// Keeps a watch up, where changes come unprompted: on sockets, that is what brings them.
+pub async fn keep(node: Rc<Node>) {
+    loop {
+        follow(node.clone()).await;
+        tokio::time::sleep(AGAIN).await;
+    }
+}
+
 /// Watches from the version that the node has, or asks for the whole list first where it has to. Ends when
 /// the watch ends, and tells the node.
 pub async fn follow(node: Rc<Node>) {
@@ -131,7 +143,7 @@
             format!("unreadable line dropped: {words}")
         }
     };
-    log::line(format!("discovery: {words}"));
+    log::trouble(|| format!("discovery: {words}"));
     node.discovery_failed();
 }
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -11,7 +12,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use tulipmount::{
-    Action, Balancer, Entry, Event, Listed, Millis, Outcome, RequestId, ServerId, SettingsError,
+    Action, Balancer, Discovery, Entry, Event, Listed, Millis, Outcome, RequestId, ServerId, SettingsError,
 };
 
 use super::clients::Asked;
@@ -132,6 +133,7 @@
     /// Where the module refuses the settings.
     pub fn new(mut config: Config) -> Result<Rc<Self>, SettingsError> {
         let balancer = Balancer::new(config.told.settings.clone(), config.seed)?;
+        let pushed = config.told.settings.discovery == Discovery::Pushed;
         let known = config.known.take();
         let state = State {
             balancer,
@@ -155,6 +157,9 @@
         });
         let saved = known.unwrap_or(Update { version: 0, whole: true, hosts: Vec::new() });
         node.take_list(saved, true);
+        if pushed {
+            node.call(discovery::keep(node.clone()));
+        }
         Ok(node)
     }
 
@@ -381,7 +386,11 @@
     // ---- The list ----
 
     fn subscribe(self: &Rc<Self>) {
-        let call = tokio::task::spawn_local(discovery::follow(self.clone())).abort_handle();
+        self.call(discovery::follow(self.clone()));
+    }
+
+    fn call(&self, call: impl Future<Output = ()> + 'static) {
+        let call = tokio::task::spawn_local(call).abort_handle();
         // One call at a time: what the module no longer waits for is only load on the service.
         if let Some(old) = self.state.borrow_mut().call.replace(call) {
             old.abort();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -234,6 +234,27 @@
     });
 }
 
+/// Where the settings say that changes come unprompted, they still come over a watch, which the node keeps up.
+#[test]
+fn a_pushed_list_is_watched_and_watched_again() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let registry = Registry::new(&[host("s0", a.address, "active", 1)]);
+    let mut config = config(registry.address);
+    config["settings"]["Discovery"] = json!("automatic");
+    let hosts = [host("s1", b.address, "active", 1)];
+    config["known"] = json!({"seq": 1, "whole": true, "hosts": hosts});
+    let node = Node::ready(&config);
+    let mut client = Client::to(&node);
+    let mut ask = || client.ask(&request("look", "t1", 15_000)).body;
+    assert_eq!(ask(), b"a", "ready once discovery has answered, not by the saved list");
+    registry.down(true);
+    until("the node calls again, and again", || registry.calls().len() >= 4);
+    assert_eq!(ask(), b"a");
+    registry.tell(9, &hosts, &[]);
+    registry.down(false);
+    until("the new list counts", || ask() == b"b");
+}
+
 /// A line that can't be read is dropped, and the whole list asked for.
 #[test]
 fn a_bad_line_makes_the_node_ask_for_the_whole_list() {
