Make room for a client when one comes, and look again while all are busy

At 128 the accept loop made room at once, before anybody asked for it: where all others are busy that is the connection that came last, with its request on the way. Where all are busy it waited for a connection to end, and kept ones never do, so that a node whose connections turn idle together accepts nobody any more.

Ruled out: the backlog (no failed connects), CPU (0.09 s in a second).

At fault: `accept` and `evict` in src/net/clients.rs.

Test: `a_crowd_of_busy_connections_does_not_shut_out_the_next` waits in vain without the change.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -134,11 +134,15 @@
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let mut logged: Option<Instant> = None;
         loop {
-            while self.count() >= self.most && !self.evict() {
-                self.freed.notified().await;
-            }
             match listener.accept().await {
-                Ok((stream, _)) => self.serve(stream),
+                Ok((stream, _)) => {
+                    // Room is made once it is needed, and never by a connection that has just come.
+                    while self.count() >= self.most && !self.evict() {
+                        // One that is busy now may be idle soon, which nobody tells.
+                        let _ = timeout(EXHAUSTED, self.freed.notified()).await;
+                    }
+                    self.serve(stream);
+                }
                 Err(error) => {
                     // Out of descriptors, as a rule: what is idle makes room, and the backlog waits.
                     if logged.is_none_or(|at| at.elapsed() >= QUIET) {
@@ -175,7 +179,8 @@
     pub fn close_idle(&self) {
         for client in self.open.borrow().values() {
             let (phase, since) = client.sock.phase();
-            if phase == Phase::Idle && since.elapsed() >= FRESH && client.sock.quiet() {
+            let idle = matches!(phase, Phase::New | Phase::Idle);
+            if idle && since.elapsed() >= FRESH && client.sock.quiet() {
                 client.close.notify_one();
             }
         }
@@ -187,7 +192,8 @@
         let (number, client) = {
             let open = self.open.borrow();
             let rank = |c: &Client| match c.sock.phase() {
-                (Phase::Idle, since) if c.sock.quiet() => Some((0, since)),
+                (Phase::New, since) if since.elapsed() < FRESH => None,
+                (Phase::New | Phase::Idle, since) if c.sock.quiet() => Some((0, since)),
                 (Phase::Reading, since) if since.elapsed() >= READING / 10 => Some((1, since)),
                 _ => None,
             };
--- a/src/net/sock.rs
+++ b/src/net/sock.rs
@@ -72,6 +72,8 @@
 /// What a client's connection is in the middle of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// Nothing has come yet.
+    New,
     /// Between requests.
     Idle,
     /// A request has begun to come.
@@ -89,7 +91,7 @@
     /// What came back since the message was begun.
     back: RefCell<Back>,
     phase: Cell<Phase>,
-    /// When the phase began.
+    /// When the phase began; for reading the first request, when the connection came.
     since: Cell<Instant>,
     /// When the request that is being read or served began to come.
     began: Cell<Instant>,
@@ -107,7 +109,7 @@
             stream,
             out: RefCell::default(),
             back: RefCell::default(),
-            phase: Cell::new(Phase::Idle),
+            phase: Cell::new(Phase::New),
             since: Cell::new(now),
             began: Cell::new(now),
         }))
@@ -189,9 +191,11 @@
     fn read(&self, came: &[u8]) {
         let bytes = came.len();
         self.back.borrow_mut().came(came);
-        if bytes > 0 && self.phase.get() == Phase::Idle {
-            self.enter(Phase::Reading);
-            self.began.set(self.since.get());
+        if bytes > 0 && matches!(self.phase.get(), Phase::New | Phase::Idle) {
+            self.began.set(Instant::now());
+            if self.phase.replace(Phase::Reading) == Phase::Idle {
+                self.since.set(self.began.get());
+            }
         }
     }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -394,6 +394,41 @@
     }
 }
 
+/// All connections busy, and one more waits: once they are idle again, one of them makes room for it.
+#[test]
+fn a_crowd_of_busy_connections_does_not_shut_out_the_next() {
+    let open = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let gate = open.clone();
+    let server = Peer::new(move |_| {
+        while !gate.load(std::sync::atomic::Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Say::This(answer(200, "", "served"))
+    });
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let mut config = config(registry.address);
+    config["limits"]["sockets"] = json!(32);
+    for class in 0..3 {
+        config["settings"]["Classes"][class]["Slo"] = json!(100_000.0);
+    }
+    let node = Node::ready(&config);
+    let mut crowd: Vec<Client> = (0..16)
+        .map(|n| {
+            let mut client = Client::to(&node);
+            client.send(&request("slip", &format!("t{n}"), 100_000));
+            client
+        })
+        .collect();
+    until("attempts are out", || server.seen().len() == 8);
+    let mut next = Client::to(&node);
+    next.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    open.store(true, std::sync::atomic::Ordering::SeqCst);
+    for client in &mut crowd {
+        assert_eq!(client.hear().map(|m| m.status()), Some(200));
+    }
+    assert_eq!(next.hear().map(|m| m.status()), Some(200));
+}
+
 /// What comes behind an answer is not the answer to the next request.
 #[test]
 fn bytes_behind_an_answer_do_not_answer_the_next_request() {
