Count no time-out towards ejection that had under half of its aim

Symptom: 11 to 21% of requests are refused from 5 to 20 s, with 1.01 tries for each, while the servers have room.

Evidence: the state lines show 3 to 4 of 9 servers ejected throughout that stretch and none before. There half of the time-outs come after 20 to 50 ms, at all nine servers alike (48 to 75 lines each), against 100 ms earlier.

Ruled out: requests that come slowly (a line now logs any that takes over 10 ms; there were none), errors (4), resets (none), a slow server (the time-outs are spread evenly).

At fault: `on_ended` handed every time-out to `detect_outlier`, three in a row of which eject, though one that had little time says little of its server, as `learn` has it already.

Test: `time_outs_that_had_little_time_eject_nobody` fails without the change; time-outs after nearly all of the aim still eject.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -913,7 +913,11 @@
         if let Some(s) = self.servers.get_mut(&server) {
             s.out.retain(|o| (o.0, o.1) != (id, attempt));
         }
-        self.detect_outlier(server, outcome, took);
+        // One that had little time says little of its server.
+        let aim = self.requests.get(&id).map_or(0.0, |r| self.set.classes[r.class].aim);
+        if outcome != Outcome::TimedOut || CUT * took >= aim {
+            self.detect_outlier(server, outcome, took);
+        }
         self.servers.retain(|_, s| s.entry.state != Listed::Gone || !s.out.is_empty());
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -33,6 +33,8 @@
 /// How long a request may take to come, the first from the connection's beginning on, and an answer to be taken.
 /// Whoever sends nothing proper is owed a close within 3 s; one without a request may be closed after 2 s.
 const READING: Duration = Duration::from_millis(2200);
+/// A request that takes longer to come is logged.
+const SLOW: Duration = Duration::from_millis(10);
 /// How long a connection is read after its last answer, so that a reset does not overtake it.
 const LINGER: Duration = Duration::from_millis(500);
 /// The largest head of a request.
@@ -304,6 +306,10 @@
     arrived: Instant,
     remaining: Duration,
 ) -> Response<Full<Bytes>> {
+    let coming = arrived.elapsed();
+    if coming >= SLOW {
+        log::trouble(|| format!("{}: took {coming:.1?} to come, with {remaining:?} to go", asked.txn()));
+    }
     let last = arrived + remaining;
     let before = |margin: Duration| last - margin.min(remaining / 2);
     if !node.has_room() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -189,6 +189,26 @@
     }
 }
 
+/// Guards requests with little time left: cut off by their clients' deadlines, they had good servers ejected.
+#[test]
+fn time_outs_that_had_little_time_eject_nobody() {
+    let turns_after = |left: f64| {
+        let mut node = Node::fleet(settings(), 4);
+        let mut turns = [0; 4];
+        for _ in 0..24 {
+            let (id, actions) = node.ask_with(SAFE, None, left);
+            let server = sent_to(&actions).expect("sent").0 as usize;
+            turns[server] += 1;
+            node.now += if server == 1 { left - 1.0 } else { 1.0 };
+            node.end(id, if server == 1 { Outcome::TimedOut } else { Outcome::Done });
+            node.event(Event::ClientGone(id));
+        }
+        turns[1]
+    };
+    assert_eq!(turns_after(20.0), 6, "a fifth of the aim tells nothing of the server");
+    assert_eq!(turns_after(95.0), 3, "nearly all of it does");
+}
+
 /// Guards incident i0ddaf6: a zone cut off is more than half of the fleet, and all of it refuses.
 #[test]
 fn refused_connections_eject_without_a_cap() {
