Keep an eighth of a request's time for the way back, not half of it

Symptom: with the ejections gone 8 to 16% of the requests from 5 to 20 s are still refused.

Such requests have 40 to 70 ms left when they come, and the module was told a deadline 20 ms before the client's.

Ruled out: slow servers (answers stay at a median of 16 ms), limits (about two for each server throughout), ejections (none).

At fault: `settle` in src/net/clients.rs kept the margin of 20 ms for each request, or half of its time where that is less. It now keeps an eighth at most, and the guard a sixteenth; those with 160 ms or more are as before.

Test: `little_time_is_left_to_the_servers` fails with the old halves.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -311,13 +311,13 @@
         log::trouble(|| format!("{}: took {coming:.1?} to come, with {remaining:?} to go", asked.txn()));
     }
     let last = arrived + remaining;
-    let before = |margin: Duration| last - margin.min(remaining / 2);
+    let (margin, guard) = margins(remaining);
     if !node.has_room() {
         return refusal(0.0);
     }
-    let (id, answered) = node.request(asked, before(MARGIN));
+    let (id, answered) = node.request(asked, last - margin);
     let mut owed = Owed { node: node.clone(), id, answered: false };
-    let Some(answer) = in_time(before(GUARD), answered).await else {
+    let Some(answer) = in_time(last - guard, answered).await else {
         return plain(StatusCode::GATEWAY_TIMEOUT);
     };
     owed.answered = true;
@@ -328,6 +328,12 @@
     }
 }
 
+/// How long before the client's deadline the module's ends, and the node answers in its place. A request with
+/// little time left keeps most of it: its answer, too, may come late.
+fn margins(remaining: Duration) -> (Duration, Duration) {
+    (MARGIN.min(remaining / 8), GUARD.min(remaining / 16))
+}
+
 /// The answer, if it comes in time. Whatever becomes of the module's timers and attempts, the client is not
 /// kept waiting past that.
 async fn in_time(last: Instant, answered: oneshot::Receiver<Answer>) -> Option<Answer> {
@@ -434,6 +440,17 @@
 mod tests {
     use super::*;
 
+    /// Half of what a request with little time has left must not be kept back for the way to the client.
+    #[test]
+    fn little_time_is_left_to_the_servers() {
+        let ms = Duration::from_millis;
+        assert_eq!(margins(ms(1000)), (MARGIN, GUARD));
+        for left in [1, 20, 40, 80] {
+            let (margin, guard) = margins(ms(left));
+            assert!(margin <= ms(left) / 5 && guard < margin, "{margin:?} and {guard:?} of {left} ms");
+        }
+    }
+
     /// An answer that never comes must not keep the client past its deadline.
     #[test]
     fn the_guard_ends_the_wait_for_an_answer() {
