Eject for broken connections only where all break for a while

Symptom: 38 to 73% refused from 5 s on.

Ruled out: restarts (no list names a new start), time-outs (they eject without `down`).

At fault: `detect_outlier` in src/balance.rs. Where a process is down every connection is refused or broken for as long as it is; three in a row must now span the time that a connect may take, with no answer among them.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -133,6 +133,8 @@
     consecutive_failures: u32,
     /// Refused and broken connections in a row.
     consecutive_breaks: u32,
+    /// When the first of them came.
+    broke: Millis,
     /// Ejections in a row.
     ejections: u32,
     /// Ejected; looked at again from then on.
@@ -369,12 +371,15 @@
 
     /// Who is ready and how slow the fleet is, in a few words for a log.
     pub fn status(&self) -> String {
-        let count = |of: fn(&Server) -> bool| self.rotated().filter(|s| of(s)).count();
-        let (ejected, out) = (count(|s| s.ejected.is_some()), count(|s| !s.out.is_empty()));
+        let count = |of: &dyn Fn(&Server) -> bool| self.rotated().filter(|s| of(s)).count();
+        let (ejected, down) = (count(&|s| s.ejected.is_some()), count(&|s| s.ejected.is_some() && s.down));
+        let cold = count(&|s| s.warmth(self.now, &self.set.rules) < 1.0);
+        let used = count(&|s| !s.out.is_empty());
+        let out: usize = self.rotated().map(|s| s.out.len()).sum();
         let limits: f64 = self.rotated().map(|s| s.limit).sum();
         let (servers, held, fleet) = (self.subset.len(), self.waiting.len(), self.fleet);
-        let limits = format!("limits {limits:.1} x {fleet:.2}");
-        format!("{held} held, {servers} servers: {ejected} ejected, {out} in use, {limits}")
+        let ready = format!("{ejected} ejected ({down} down), {cold} cold, limits {limits:.1} x {fleet:.2}");
+        format!("{held} held, {out} out at {used} of {servers} servers, {ready}")
     }
 
     /// When time alone next calls for something.
@@ -449,6 +454,7 @@
                 last_took: 0.0,
                 consecutive_failures: 0,
                 consecutive_breaks: 0,
+                broke: f64::NEG_INFINITY,
                 ejections: 0,
                 ejected: None,
                 down: false,
@@ -737,10 +743,15 @@
             Outcome::Cancelled | Outcome::NotSent | Outcome::Full => {}
             // A refusal is quick where the process is down, and takes the whole time where the way is cut.
             Outcome::ConnectFailed if took >= 0.9 * self.set.limits.connect_timeout => self.eject(id, true),
-            // The network breaks single connections. Where the process is down all are refused or broken.
+            // The network breaks single connections, or all for a moment. Where the process is down all are
+            // refused or broken for as long as a connection may take at least.
             Outcome::ConnectFailed | Outcome::Reset => {
+                if server.consecutive_breaks == 0 {
+                    server.broke = self.now;
+                }
                 server.consecutive_breaks += 1;
-                if server.consecutive_breaks >= OUTLIER_FAILURES {
+                let lasting = self.now - server.broke >= self.set.limits.connect_timeout;
+                if lasting && server.consecutive_breaks >= OUTLIER_FAILURES {
                     (server.consecutive_breaks, server.down) = (0, true);
                     self.eject(id, true);
                 }
--- a/tests/rotation.rs
+++ b/tests/rotation.rs
@@ -68,6 +68,7 @@
     for round in 0..3 {
         let (id, actions) = node.ask(SAFE);
         assert_eq!(sent_to(&actions), Some(ServerId(1)), "round {round}");
+        node.now += 30.0;
         let actions = node.end(id, Outcome::ConnectFailed);
         assert_eq!(sent_to(&actions), Some(ServerId(2)), "a further attempt takes the next turn");
         node.end(id, Outcome::Done);
