Keep no connection to an address that its server has left

Symptom: none recorded for it alone; found by reading what a change of `dial` does. The list's change closes the idle connections of a server that moved, but one that is busy then went back to the pool after its answer, and the next request was written to the old address, where another server may listen by then, or one that no list names.

At fault: `exchange` in src/net/servers.rs. A connection now goes back to the pool only while the list still has its server up at that address.

Test: `a_server_that_moves_is_not_reached_where_it_was`; without the change the request after the move is answered by the old address.

--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -223,8 +223,10 @@
             Ok(Err(_)) if reused && !any => continue,
             Ok(Ok(heard)) => {
                 // One that has more to read than the answer would answer the next request with it.
+                // One to where the server is no more would bring it what is meant for it elsewhere.
                 if heard.keep
                     && whole
+                    && node.dial(server) == Some(dial)
                     && link.sock.heard_just(heard.reply.body.len(), heard.chunked)
                     && link.sock.quiet()
                 {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -177,6 +177,31 @@
     }
 }
 
+/// A connection to where a server was is of no use once the list has it elsewhere, also if it was busy then.
+#[test]
+fn a_server_that_moves_is_not_reached_where_it_was() {
+    let open = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let gate = open.clone();
+    let old = Peer::new(move |m| {
+        while m.header("x-txn") == Some("slow") && !gate.load(std::sync::atomic::Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Say::This(answer(200, "", "old"))
+    });
+    let new = Peer::good("new");
+    let registry = Registry::new(&[host("s0", old.address, "active", 1)]);
+    let node = Node::ready(&config(registry.address));
+    let (mut slow, mut client) = (Client::to(&node), Client::to(&node));
+    slow.send(&request("slip", "slow", 15_000));
+    until("the slow one is out", || old.seen().len() == 1);
+    let moved = [host("s0", new.address, "active", 1)];
+    registry.tell(2, &moved, &moved);
+    until("the move is known", || client.ask(&request("look", "t1", 15_000)).body == b"new");
+    open.store(true, std::sync::atomic::Ordering::SeqCst);
+    assert_eq!(slow.hear().expect("an answer").body, b"old");
+    assert_eq!(client.ask(&request("look", "t2", 15_000)).body, b"new");
+}
+
 /// A send that waits for its connection is not written to a server that drains meanwhile.
 #[test]
 fn a_drain_reaches_sends_that_wait_for_a_connection() {
