Call an agent that leaves a call unanswered again after 1 s, not 4.5 s

Where changes come unprompted, discovery is an agent on the node's own machine: it is silent while discovery is down and otherwise answers without delay, and what it has counts as told. A call made while it was silent held the next one up for FIRST, 4.5 s, which is meant for a service with a queue; a drain told meanwhile would have been kept 300 ms too late at best.

At fault: `call` in src/net/discovery.rs. The answer to a call now has 1 s to begin where the list is pushed; lines of a watch have their time as before, since one without news may bring the first of them after 2 s.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tulipmount::Listed;
+use tulipmount::{Discovery, Listed};
 
 use super::log;
 use super::node::Node;
@@ -23,8 +23,11 @@
 const LINE_MOST: usize = 4 << 20;
 /// How long a connection may take.
 const CONNECT: Duration = Duration::from_millis(1000);
-/// How long a call may wait in the service's queue.
+/// How long a call may wait in the queue of a service that is asked.
 const FIRST: Duration = Duration::from_millis(4500);
+/// How long it may take to begin its answer where changes come unprompted: an agent on the node's own machine
+/// answers at once.
+const AGENT: Duration = Duration::from_millis(1000);
 /// A watch brings a line every 2 s: a longer silence is a dead link, which TCP alone would not notice.
 const SILENCE: Duration = Duration::from_millis(3200);
 
@@ -217,7 +220,11 @@
     });
     let request = Request::get(path).header("host", to.to_string()).body(Empty::<Bytes>::new());
     let request = request.map_err(|e| broken(&e.to_string()))?;
-    let answer = timeout(FIRST, send.send_request(request)).await;
+    let wait = match node.config.told.settings.discovery {
+        Discovery::Pushed => AGENT,
+        Discovery::Asked => FIRST,
+    };
+    let answer = timeout(wait, send.send_request(request)).await;
     let answer: Response<Incoming> = answer.map_err(|_| broken("no answer"))??;
     if answer.status() != StatusCode::OK {
         driver.abort();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -280,6 +280,24 @@
     until("the new list counts", || ask() == b"b");
 }
 
+/// Where changes come unprompted, discovery answers without delay: a call that it leaves unanswered is soon given up.
+#[test]
+fn a_call_that_stays_unanswered_is_soon_made_again() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let registry = Registry::new(&[host("s0", a.address, "active", 1)]);
+    let mut config = config(registry.address);
+    config["settings"]["Discovery"] = json!("automatic");
+    let node = Node::ready(&config);
+    registry.mute(true);
+    let (calls, start) = (registry.calls().len(), Instant::now());
+    until("the node calls again", || registry.calls().len() >= calls + 4);
+    // Three calls that were left: 13.5 s and more before.
+    assert!(start.elapsed() < Duration::from_secs(11), "{:?}", start.elapsed());
+    registry.tell(9, &[host("s1", b.address, "active", 1)], &[]);
+    registry.mute(false);
+    until("the new list counts", || Client::to(&node).ask(&request("look", "t1", 15_000)).body == b"b");
+}
+
 /// SIGHUP: discovery is followed to where the file says that it is now; a file that can't be read ends nothing.
 #[test]
 fn sighup_moves_discovery_and_ends_nothing() {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -178,6 +178,8 @@
     down: bool,
     /// Watches stay open and say nothing.
     silent: bool,
+    /// Calls are taken and never answered.
+    mute: bool,
     /// Raised to end all watches.
     epoch: usize,
     calls: Vec<String>,
@@ -213,10 +215,14 @@
     fn serve(&self, stream: TcpStream) -> Option<()> {
         let mut out = stream.try_clone().ok()?;
         let request = read_message(&mut BufReader::new(stream), 0)?;
-        let (whole, down, epoch, mut place) = self.with(|t| {
+        let (whole, down, epoch, mut place, mute) = self.with(|t| {
             t.calls.push(request.path().to_string());
-            (t.whole.clone(), t.down, t.epoch, t.news.len())
+            (t.whole.clone(), t.down, t.epoch, t.news.len(), t.mute)
         });
+        if mute {
+            std::thread::sleep(PATIENCE);
+            return None;
+        }
         if down {
             return None;
         }
@@ -269,6 +275,13 @@
         });
     }
 
+    /// Takes calls and never answers those, or answers again; watches end.
+    pub fn mute(&self, mute: bool) {
+        self.with(|t| {
+            (t.mute, t.epoch) = (mute, t.epoch + 1);
+        });
+    }
+
     /// The link goes dead without a word.
     pub fn silent(&self) {
         self.with(|t| t.silent = true);
