--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -288,12 +288,16 @@
 struct Owed {
     node: Rc<Node>,
     id: RequestId,
+    txn: String,
+    came: Instant,
     answered: bool,
 }
 
 impl Drop for Owed {
     fn drop(&mut self) {
         if !self.answered {
+            let after = self.came.elapsed();
+            log::trouble(|| format!("{}: left by its client, or out of time, after {after:.1?}", self.txn));
             self.node.client_gone(self.id);
         }
     }
@@ -315,8 +319,9 @@
     if !node.has_room() {
         return refusal(0.0);
     }
+    let txn = asked.txn().to_string();
     let (id, answered) = node.request(asked, last - margin);
-    let mut owed = Owed { node: node.clone(), id, answered: false };
+    let mut owed = Owed { node: node.clone(), id, txn, came: arrived, answered: false };
     let Some(answer) = in_time(last - guard, answered).await else {
         return plain(StatusCode::GATEWAY_TIMEOUT);
     };
