--- a/src/main.rs
+++ b/src/main.rs
@@ -4,10 +4,12 @@
 
 mod net;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use net::admin::Admin;
 use net::clients::Clients;
 use net::config::{self, Config};
 use net::log;
@@ -56,20 +58,29 @@
     ExitCode::FAILURE
 }
 
-fn listen(config: &Config) -> std::io::Result<TcpListener> {
-    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(config.listen)?;
-    socket.listen(BACKLOG)
+fn listen(name: &str, at: SocketAddr) -> Result<TcpListener, String> {
+    let bound = || {
+        let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(at)?;
+        socket.listen(BACKLOG)
+    };
+    bound().map_err(|e: std::io::Error| format!("{name}: {at}: {e}"))
 }
 
 async fn serve(config: Config) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signal: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signal: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signal: {e}"))?;
-    let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let listener = listen("listen", config.listen)?;
+    let admin = config.admin.map(|at| listen("admin_addr", at)).transpose()?;
     let node = Node::new(config).map_err(|e| format!("settings: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+    if let Some(listener) = admin {
+        let address = listener.local_addr().map_err(|e| format!("admin_addr: {e}"))?;
+        log::line(format!("{} takes operators' calls at {address}", node.config.name));
+        spawn_local(Admin::new(node.clone()).accept(listener));
+    }
     log::line(format!("{} listens at {address}", node.config.name));
     let clients = Clients::new(node.clone());
     spawn_local(node.clone().run_timer());
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -249,8 +249,7 @@
     let arrived = sock.arrived();
     let head = *request.method() == Method::HEAD;
     let mut answer = if request.uri().path() == "/ready" {
-        let status = if node.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        plain(status)
+        plain(node.readiness())
     } else {
         match read(&node, request).await {
             Ok((asked, remaining)) => {
@@ -278,7 +277,8 @@
     hyper::body::Body::size_hint(answer.body()).exact().unwrap_or(0) as usize
 }
 
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
+/// An answer without a body.
+pub fn plain(status: StatusCode) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::default());
     *answer.status_mut() = status;
     answer
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -13,6 +13,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they may.
+    pub admin: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -66,6 +68,8 @@
         env(&upper).map(|v| (upper, v)).or_else(file).ok_or_else(|| format!("{name}: text expected"))
     };
     let address = |name: &str| text(name).and_then(|(from, words)| address(&from, &words));
+    let has_admin =
+        env("BALANCER_ADMIN_ADDR").is_some() || value.get("admin_addr").is_some_and(|v| !v.is_null());
     let seed = value.get("seed").and_then(Value::as_str).ok_or("seed: text expected")?;
     let known = match value.get("known") {
         None | Some(Value::Null) => None,
@@ -75,6 +79,7 @@
     Ok(Config {
         name: text("name")?.1,
         listen: address("listen")?,
+        admin: has_admin.then(|| address("admin_addr")).transpose()?,
         discovery: address("discovery")?,
         seed: u64::from_str_radix(seed, 16)
             .map_err(|_| format!("seed: hex digits expected, not {seed:?}"))?,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The node round the decision module: sockets in, sockets out, no decisions.
 
+pub mod admin;
 pub mod clients;
 pub mod config;
 pub mod discovery;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use hyper::HeaderMap;
+use hyper::{HeaderMap, StatusCode};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use tulipmount::{
@@ -190,6 +190,15 @@
         self.informed.get() || (late && !self.state.borrow().hosts.is_empty())
     }
 
+    /// The same as the status of an answer.
+    pub fn readiness(&self) -> StatusCode {
+        if self.ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    }
+
     // ---- Events ----
 
     /// Hands an event to the module and does what it says. Events that come of that wait their turn.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -340,7 +340,7 @@
             shell
         }
     };
-    for name in ["NAME", "LISTEN", "DISCOVERY"] {
+    for name in ["NAME", "LISTEN", "DISCOVERY", "ADMIN_ADDR", "INHERITED_FD"] {
         command.env_remove(format!("BALANCER_{name}"));
     }
     command.env("BALANCER_CONFIG", &file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
@@ -391,6 +391,24 @@
         });
     }
 
+    /// Its second address.
+    pub fn admin(&self) -> SocketAddr {
+        let lines = self.log.lock().expect("no panic");
+        let find = |l: &String| l.split_once(" operators' calls at ").and_then(|(_, a)| a.parse().ok());
+        lines.iter().find_map(find).expect("logged before the first address")
+    }
+
+    /// One call at the second address: the status, and the words of the answer.
+    pub fn call(&self, call: &str) -> (u16, String) {
+        let heard = self.caller().ask(&format!("{call} HTTP/1.1\r\nHost: x\r\n\r\n"));
+        (heard.status(), String::from_utf8(heard.body).expect("text"))
+    }
+
+    /// A connection to the second address.
+    pub fn caller(&self) -> Client {
+        Client::at(self.admin())
+    }
+
     pub fn logged(&self, words: &str) -> bool {
         self.log.lock().expect("no panic").iter().any(|l| l.contains(words))
     }
@@ -454,7 +472,11 @@
 
 impl Client {
     pub fn to(node: &Node) -> Self {
-        let out = TcpStream::connect(node.address).expect("the node listens");
+        Self::at(node.address)
+    }
+
+    pub fn at(address: SocketAddr) -> Self {
+        let out = TcpStream::connect(address).expect("the node listens");
         out.set_read_timeout(Some(PATIENCE)).expect("a socket");
         let from = BufReader::new(out.try_clone().expect("a socket"));
         Self { out, from }
