--- a/src/main.rs
+++ b/src/main.rs
@@ -1,10 +1,10 @@
 //! One node of the load balancer: configuration, runtime, signals, exit code.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 #![warn(missing_docs)]
 
 mod net;
 
-use std::net::SocketAddr;
+use std::net::TcpListener as StdListener;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -12,20 +12,21 @@
 use net::admin::Admin;
 use net::clients::Clients;
 use net::config::{self, Config};
-use net::log;
 use net::node::Node;
-use tokio::net::{TcpListener, TcpSocket};
+use net::{listen, log};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 
-/// How long connections still come after SIGTERM.
+/// How long connections still come after SIGTERM, where no other process takes them.
 const ACCEPT: Duration = Duration::from_millis(500);
-/// When the node fails what is still open after SIGTERM, and when it ends at the latest: SIGKILL comes no
-/// sooner than 3.7 s after it where deadlines are long, and resets what it finds.
-const FAIL_AT: Duration = Duration::from_millis(3200);
-const STOP_WITHIN: Duration = Duration::from_millis(3500);
-/// Connections that the kernel may hold until they are accepted.
-const BACKLOG: u32 = 1024;
+/// SIGKILL comes no sooner than the longest deadline, which counts as 3 s at most, and this after SIGTERM.
+const KILL_AFTER: Duration = Duration::from_millis(700);
+const LONGEST: Duration = Duration::from_secs(3);
+/// How long before that the node closes what is still idle, fails what is still open, and ends at the latest.
+const CLOSE_BEFORE: Duration = Duration::from_millis(700);
+const FAIL_BEFORE: Duration = Duration::from_millis(300);
+const END_BEFORE: Duration = Duration::from_millis(150);
 /// How often idle connections are looked at, and a line on the node's state is logged.
 const SWEEP: Duration = Duration::from_millis(500);
 
@@ -42,12 +43,18 @@
         std::thread::sleep(Duration::from_millis(50));
         std::process::exit(101);
     }));
+    // Before anything else opens a descriptor.
+    let adopted = config.inherited.map(listen::adopt).transpose();
+    let listener = match adopted.and_then(|l| l.map_or_else(|| listen::bind("listen", config.listen), Ok)) {
+        Ok(listener) => listener,
+        Err(words) => return fail(&words),
+    };
     log::start();
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return fail(&format!("runtime: {error}")),
     };
-    match LocalSet::new().block_on(&runtime, serve(config)) {
+    match LocalSet::new().block_on(&runtime, serve(config, listener)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(words) => fail(&words),
     }
@@ -58,25 +65,16 @@
     ExitCode::FAILURE
 }
 
-fn listen(name: &str, at: SocketAddr) -> Result<TcpListener, String> {
-    let bound = || {
-        let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.set_reuseaddr(true)?;
-        socket.bind(at)?;
-        socket.listen(BACKLOG)
-    };
-    bound().map_err(|e: std::io::Error| format!("{name}: {at}: {e}"))
-}
-
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(config: Config, listener: StdListener) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signal: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signal: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signal: {e}"))?;
-    let listener = listen("listen", config.listen)?;
-    let admin = config.admin.map(|at| listen("admin_addr", at)).transpose()?;
+    let listener = TcpListener::from_std(listener).map_err(|e| format!("listen: {e}"))?;
+    let admin = config.admin.map(|at| listen::bind("admin_addr", at)).transpose()?;
     let node = Node::new(config).map_err(|e| format!("settings: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     if let Some(listener) = admin {
+        let listener = TcpListener::from_std(listener).map_err(|e| format!("admin_addr: {e}"))?;
         let address = listener.local_addr().map_err(|e| format!("admin_addr: {e}"))?;
         log::line(format!("{} takes operators' calls at {address}", node.config.name));
         spawn_local(Admin::new(node.clone()).accept(listener));
@@ -86,8 +84,15 @@
     spawn_local(node.clone().run_timer());
     spawn_local(sweep(node.clone(), clients.clone()));
     spawn_local(reload(node.clone(), hangup));
+    let accept = async {
+        if node.config.inherited.is_some() {
+            // Until this process can serve, an older one does.
+            node.until_ready().await;
+        }
+        clients.accept(&listener).await;
+    };
     tokio::select! {
-        () = clients.accept(&listener) => {}
+        () = accept => {}
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
@@ -116,19 +121,33 @@
     }
 }
 
-/// Finishes all that was taken: the front goes on connecting for a while, and clients use what they have for
-/// as long as it stays open.
+/// Finishes all that was taken. Without a successor the front goes on connecting for a while; clients use what
+/// they have for as long as it stays open.
 async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, listener: TcpListener) {
     let told = Instant::now();
     node.closing.set(true);
-    let _ = tokio::time::timeout(ACCEPT, clients.accept(&listener)).await;
-    clients.empty_backlog(&listener).await;
-    drop(listener);
-    while told.elapsed() < STOP_WITHIN && (clients.count() > 0 || node.open_requests() > 0) {
-        if told.elapsed() >= FAIL_AT {
+    let longest = Duration::try_from_secs_f64(node.config.told.longest / 1000.0).unwrap_or(LONGEST);
+    let kill = told + longest.min(LONGEST) + KILL_AFTER;
+    let mut close_idle = told;
+    if node.config.inherited.is_some() {
+        // New connections are the successor's, and what they need of the descriptors too. Clients go over to it
+        // with the answers that close; an idle connection that is closed may cross a request.
+        drop(listener);
+        node.pool.shrink(node);
+        clients.shrink();
+        close_idle = kill - CLOSE_BEFORE;
+    } else {
+        let _ = tokio::time::timeout(ACCEPT, clients.accept(&listener)).await;
+        clients.empty_backlog(&listener).await;
+        drop(listener);
+    }
+    while Instant::now() < kill - END_BEFORE && (clients.count() > 0 || node.open_requests() > 0) {
+        if Instant::now() >= kill - FAIL_BEFORE {
             node.fail_open();
         }
-        clients.close_idle();
+        if Instant::now() >= close_idle {
+            clients.close_idle();
+        }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -140,7 +140,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     // Room is made once it is needed, and never by a connection that has just come.
-                    while self.count() >= self.most && !self.evict() {
+                    while self.count() >= self.node.part(self.most) && !self.evict() {
                         // One that is busy now may be idle soon, which nobody tells.
                         let _ = timeout(EXHAUSTED, self.freed.notified()).await;
                     }
@@ -178,6 +178,11 @@
         }
     }
 
+    /// Closes idle connections until there are no more than its part, or none is idle.
+    pub fn shrink(&self) {
+        while self.count() > self.node.part(self.most) && self.evict() {}
+    }
+
     /// Closes connections that are between requests and have nothing to read.
     pub fn close_idle(&self) {
         for client in self.open.borrow().values() {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,7 @@
 //! What the node is told at its start: environment and configuration file.
 
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 
 use serde_json::Value;
 use tulipmount::wire::{told, Told};
@@ -13,6 +14,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The descriptor of the clients' listening socket, where the process was started with one.
+    pub inherited: Option<RawFd>,
     /// Where operators call, if they may.
     pub admin: Option<SocketAddr>,
     /// Where discovery is.
@@ -79,6 +82,7 @@
     Ok(Config {
         name: text("name")?.1,
         listen: address("listen")?,
+        inherited: env("BALANCER_INHERITED_FD").map(|v| descriptor(&v)).transpose()?,
         admin: has_admin.then(|| address("admin_addr")).transpose()?,
         discovery: address("discovery")?,
         seed: u64::from_str_radix(seed, 16)
@@ -89,6 +93,12 @@
     })
 }
 
+fn descriptor(words: &str) -> Result<RawFd, String> {
+    // The first three are standard input, output and error.
+    let fd = words.parse().ok().filter(|fd| *fd > 2);
+    fd.ok_or_else(|| format!("BALANCER_INHERITED_FD: a descriptor's number above 2 expected, not {words:?}"))
+}
+
 fn sockets(value: &Value) -> Result<usize, String> {
     let told = value.get("limits").and_then(|l| l.get("sockets"));
     let count = match told {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod clients;
 pub mod config;
 pub mod discovery;
+pub mod listen;
 pub mod log;
 pub mod node;
 pub mod servers;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -22,6 +22,12 @@
 
 /// How long the node waits for discovery before it serves by the saved list.
 const READY_WITHIN: Duration = Duration::from_millis(2500);
+/// How long after its start a process that inherited its listener may have an older one beside it: that is told
+/// to end within 6 s, once this one is ready, and is killed 3.7 s later at the latest.
+const OVERLAP: Duration = Duration::from_secs(10);
+
+/// How often it is looked whether the node can serve.
+const LOOK: Duration = Duration::from_millis(10);
 
 /// The final answer of a request.
 pub enum Answer {
@@ -190,7 +196,24 @@
         self.informed.get() || (late && !self.state.borrow().hosts.is_empty())
     }
 
-    /// The same as the status of an answer.
+    /// Returns once the node can serve.
+    pub async fn until_ready(&self) {
+        while !self.ready() {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// This process's part of so many descriptors. While another may serve as the same node, each keeps to half.
+    pub fn part(&self, descriptors: usize) -> usize {
+        let young = self.clock.start.elapsed() < OVERLAP;
+        if self.config.inherited.is_some() && (young || self.closing.get()) {
+            descriptors / 2
+        } else {
+            descriptors
+        }
+    }
+
+    /// Can the node serve, as the status of an answer?
     pub fn readiness(&self) -> StatusCode {
         if self.ready() {
             StatusCode::OK
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -118,6 +118,11 @@
         self.idle.borrow_mut().entry(server).or_default().push(link);
     }
 
+    /// Closes idle connections until it holds no more than its part, or none is idle.
+    pub fn shrink(&self, node: &Node) {
+        while self.held.get() > node.part(self.most) && self.evict() {}
+    }
+
     /// Closes the connection that has been idle for longest; false where none is.
     pub fn evict(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
@@ -132,8 +137,8 @@
 
     /// A new connection, or how the attempt ends without one. A node that has no descriptor or port left has
     /// sent nothing, but that says nothing of the server: as a failed connect it would eject a good one.
-    async fn connect(&self, dial: SocketAddr) -> Result<Link, Outcome> {
-        if self.held.get() >= self.most && !self.evict() {
+    async fn connect(&self, dial: SocketAddr, most: usize) -> Result<Link, Outcome> {
+        if self.held.get() >= most && !self.evict() {
             return Err(Outcome::NotSent);
         }
         self.held.set(self.held.get() + 1);
@@ -203,7 +208,10 @@
         let reused = pooled.is_some();
         let link = match pooled.take() {
             Some(link) => Ok(link),
-            None => timeout_at(end.into(), node.pool.connect(dial)).await.unwrap_or(Err(Outcome::NotSent)),
+            None => {
+                let connecting = node.pool.connect(dial, node.part(node.pool.most));
+                timeout_at(end.into(), connecting).await.unwrap_or(Err(Outcome::NotSent))
+            }
         };
         let mut link = match link {
             Ok(link) => link,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -125,6 +125,8 @@
     pub classes: Vec<String>,
     /// The names of the tenants, by index.
     pub tenants: Vec<String>,
+    /// The longest time that a client waits in any class.
+    pub longest: Millis,
     /// Servers close connections that have been idle for this long.
     pub keepalive: Millis,
     /// The most requests that may be open at a node.
@@ -139,6 +141,10 @@
     let f = Fields::of(value, "Options")?;
     let classes = f.list("Classes")?.iter().map(class).collect::<Result<Vec<_>, _>>()?;
     let (class_names, classes) = classes.into_iter().unzip();
+    let mut longest: Millis = 0.0;
+    for value in f.list("Classes")? {
+        longest = longest.max(Fields::of(value, "Classes")?.number_or("Deadline", f64::INFINITY)?);
+    }
     let mut tenants = Vec::new();
     let mut tenant_names = Vec::new();
     for value in f.list("Customers")? {
@@ -197,6 +203,7 @@
         settings,
         classes: class_names,
         tenants: tenant_names,
+        longest,
         keepalive: l.number_or("Keepalive", 15_000.0)?,
         open_cap: l.number_or("OpenCap", 20_000.0)? as usize,
     })
