Report the figures at /metrics, each counted in one place

A request holds a guard that counts its one end when dropped; the socket counts an attempt as the kernel takes its last byte (Sock::took); gauges are read when asked, the avoided servers from the module.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -396,6 +396,12 @@
         format!("{held} held, {out} out at {used} of {servers} servers, {ready}")
     }
 
+    /// How many listed servers nothing is sent to now, taken out by operators or ejected.
+    pub fn avoided(&self) -> usize {
+        let listed = self.servers.iter().filter(|(_, s)| s.entry.state != Listed::Gone);
+        listed.filter(|(id, s)| s.ejected.is_some() || self.disabled.contains(id)).count()
+    }
+
     /// When time alone next calls for something.
     fn next_due(&self) -> Millis {
         let call = match self.call {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{HeaderValue, ALLOW};
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
@@ -100,6 +100,11 @@
 
     fn answer(&self, method: &Method, path: &str) -> Response<Full<Bytes>> {
         match path {
+            "/metrics" => only(Method::GET, method, || {
+                let mut answer = Response::new(Full::from(self.node.figures()));
+                answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+                answer
+            }),
             "/ready" => only(Method::GET, method, || plain(self.node.readiness())),
             _ => self.maintain(method, path).unwrap_or_else(|| plain(StatusCode::NOT_FOUND)),
         }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -19,6 +19,7 @@
 use tulipmount::{Effect, Millis, RequestId};
 
 use super::log;
+use super::metrics::End;
 use super::node::{Answer, Node, Reply};
 use super::servers::{BODY_MOST, REMAINING};
 use super::sock::{Io, Phase, Sock};
@@ -273,7 +274,7 @@
     if node.closing.get() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    sock.begin(if head { 0 } else { body_length(&answer) });
+    sock.begin(if head { 0 } else { body_length(&answer) }, None);
     sock.enter(Phase::Answering);
     answer
 }
@@ -321,7 +322,9 @@
     }
     let last = arrived + remaining;
     let (margin, guard) = margins(remaining);
+    let mut taken = node.metrics.take(asked.class);
     if !node.has_room() {
+        taken.end = End::Overload;
         return refusal(0.0);
     }
     let txn = asked.txn().to_string();
@@ -332,8 +335,14 @@
     };
     owed.answered = true;
     match answer {
-        Answer::Served(reply) => served(reply),
-        Answer::Refused(stay_away) => refusal(stay_away),
+        Answer::Served(reply) => {
+            taken.end = End::Success;
+            served(reply)
+        }
+        Answer::Refused(stay_away) => {
+            taken.end = End::Overload;
+            refusal(stay_away)
+        }
         Answer::Failed => plain(StatusCode::BAD_GATEWAY),
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod discovery;
 pub mod listen;
 pub mod log;
+pub mod metrics;
 pub mod node;
 pub mod servers;
 pub mod sock;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -21,6 +21,7 @@
 use super::config::Config;
 use super::discovery::{self, Update};
 use super::log;
+use super::metrics::Metrics;
 use super::servers::{self, Pool};
 
 /// How long the node waits for discovery before it serves by the saved list.
@@ -118,6 +119,8 @@
     pub config: Config,
     /// Its connections to servers.
     pub pool: Pool,
+    /// What it counts.
+    pub metrics: Rc<Metrics>,
     /// Set once the node is to end: answers then close their connections.
     pub closing: Cell<bool>,
     /// Where discovery is now.
@@ -161,6 +164,7 @@
         };
         let node = Rc::new(Self {
             pool: Pool::new(&config),
+            metrics: Metrics::new(config.told.classes.len()),
             discovery: Cell::new(config.discovery),
             config,
             closing: Cell::new(false),
@@ -291,6 +295,12 @@
         format!("{} requests, {connections} to servers, {}", state.requests.len(), state.balancer.status())
     }
 
+    /// The figures.
+    pub fn figures(&self) -> String {
+        let state = self.state.borrow();
+        self.metrics.text(&self.config.told.classes, state.hosts.len(), state.balancer.avoided())
+    }
+
     /// Fails all that is still open: the node ends, and an answer is better than a reset.
     pub fn fail_open(self: &Rc<Self>) {
         let open: Vec<RequestId> = self.state.borrow().requests.keys().copied().collect();
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -15,7 +15,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HeaderName, HeaderValue, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use hyper::{HeaderMap, Request, StatusCode};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
 use tulipmount::{Outcome, RequestId, ServerId};
@@ -178,7 +178,8 @@
 
 /// Makes one attempt and tells the node how it ended.
 pub async fn attempt(node: Rc<Node>, to: To, asked: Rc<Asked>) {
-    let (outcome, reply) = exchange(&node, to.server, to.end, &asked.method, &asked.uri, &asked).await;
+    let written = Some(node.metrics.dispatches());
+    let (outcome, reply) = exchange(&node, to.server, to.end, &asked, written).await;
     node.attempt_ended(to.id, to.attempt, outcome, reply);
 }
 
@@ -188,7 +189,7 @@
     // As long as a connection may take, and as long again for the answer.
     let end = sent + 2 * node.pool.connect;
     let asked = Asked::probe();
-    let (outcome, _) = exchange(&node, server, end, &asked.method, &asked.uri, &asked).await;
+    let (outcome, _) = exchange(&node, server, end, &asked, None).await;
     node.probed(server, outcome, sent.elapsed());
 }
 
@@ -197,9 +198,8 @@
     node: &Rc<Node>,
     server: ServerId,
     end: Instant,
-    method: &Method,
-    uri: &Uri,
     asked: &Asked,
+    written: Option<Rc<Cell<u64>>>,
 ) -> (Outcome, Option<Reply>) {
     let mut pooled = node.pool.take(server);
     loop {
@@ -221,8 +221,8 @@
             return (Outcome::NotSent, None);
         }
         let idle = link.since.elapsed();
-        link.sock.begin(asked.body.len());
-        let request = request(method, uri, asked, end);
+        link.sock.begin(asked.body.len(), written.clone());
+        let request = request(asked, end);
         let ended = timeout_at(end.into(), converse(&mut link, request)).await;
         let (any, whole) = (link.sock.any(), link.sock.whole());
         match ended {
@@ -255,11 +255,11 @@
     }
 }
 
-fn request(method: &Method, uri: &Uri, asked: &Asked, end: Instant) -> Request<Full<Bytes>> {
+fn request(asked: &Asked, end: Instant) -> Request<Full<Bytes>> {
     let left = end.saturating_duration_since(Instant::now()).as_millis() as u64;
     let mut request = Request::new(Full::new(asked.body.clone()));
-    *request.method_mut() = method.clone();
-    *request.uri_mut() = uri.clone();
+    *request.method_mut() = asked.method.clone();
+    *request.uri_mut() = asked.uri.clone();
     *request.headers_mut() = asked.headers.clone();
     request.headers_mut().insert(REMAINING, HeaderValue::from(left));
     request
--- a/src/net/sock.rs
+++ b/src/net/sock.rs
@@ -88,6 +88,8 @@
 pub struct Sock {
     stream: TcpStream,
     out: RefCell<Progress>,
+    /// Raised once the kernel has taken the message's last byte.
+    written: RefCell<Option<Rc<Cell<u64>>>>,
     /// What came back since the message was begun.
     back: RefCell<Back>,
     phase: Cell<Phase>,
@@ -108,6 +110,7 @@
         Ok(Rc::new(Self {
             stream,
             out: RefCell::default(),
+            written: RefCell::default(),
             back: RefCell::default(),
             phase: Cell::new(Phase::New),
             since: Cell::new(now),
@@ -115,8 +118,9 @@
         }))
     }
 
-    /// A message with so long a body is about to be written.
-    pub fn begin(&self, body: usize) {
+    /// A message with so long a body is about to be written; `written` counts it once it is.
+    pub fn begin(&self, body: usize, written: Option<Rc<Cell<u64>>>) {
+        self.written.replace(written);
         *self.out.borrow_mut() = Progress { body, ..Progress::default() };
         *self.back.borrow_mut() = Back::default();
     }
@@ -201,6 +205,11 @@
 
     fn took(&self, bytes: &[u8]) {
         self.out.borrow_mut().took(bytes);
+        if self.whole() {
+            if let Some(count) = self.written.take() {
+                count.set(count.get() + 1);
+            }
+        }
         if self.phase.get() == Phase::Answering && self.whole() {
             self.enter(Phase::Idle);
         }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -88,6 +88,52 @@
     }
 }
 
+// ---- The figures ----
+
+fn figure(node: &Node, name: &str) -> u64 {
+    let (status, text) = node.call("GET /metrics");
+    assert_eq!(status, 200);
+    let line =
+        |l: &str| l.strip_prefix("edge_balancer.")?.strip_prefix(name)?.strip_prefix('=')?.parse().ok();
+    text.lines().find_map(line).unwrap_or_else(|| panic!("{name} is not in {text}"))
+}
+
+/// Served, refused, failed and left requests, and the attempts that they took.
+#[test]
+fn each_request_and_attempt_is_counted_once() {
+    let server = Peer::new(|m| match m.header("x-txn") {
+        Some("error") => Say::This(answer(500, "", "")),
+        Some("left" | "waits") => Say::Nothing,
+        _ => Say::This(answer(200, "", "served")),
+    });
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let node = Node::ready(&operated(&registry));
+    for name in ["replies.look.success", "replies.slip.error", "dispatches", "concurrent"] {
+        assert_eq!(figure(&node, name), 0, "{name}");
+    }
+    for n in 0..7 {
+        assert_eq!(ask(&node, n), 200);
+    }
+    assert_eq!(Client::to(&node).ask(&request("slip", "error", 10_000)).status(), 502);
+    assert_eq!(Client::to(&node).ask("GET /look/1 HTTP/1.1\r\nHost: x\r\n\r\n").status(), 400);
+    assert_eq!((figure(&node, "replies.look.success"), figure(&node, "replies.slip.error")), (7, 1));
+    assert_eq!((figure(&node, "dispatches"), figure(&node, "concurrent")), (8, 0));
+    let (mut left, mut waits) = (Client::to(&node), Client::to(&node));
+    left.send(&request("slip", "left", 20_000));
+    waits.send(&request("slip", "waits", 20_000));
+    until("both are out, counted while they are", || figure(&node, "dispatches") == 10);
+    assert_eq!(figure(&node, "concurrent"), 2);
+    drop(left);
+    until("the one that left has ended", || figure(&node, "concurrent") == 1);
+    assert_eq!(figure(&node, "replies.slip.error"), 2);
+    assert_eq!((figure(&node, "targets"), figure(&node, "targets_disabled")), (1, 0));
+    assert_eq!(node.call("PUT /app-servers/disable/s0").0, 200);
+    assert_eq!((figure(&node, "targets"), figure(&node, "targets_disabled")), (1, 1));
+    assert_eq!(Client::to(&node).ask(&request("look", "refused", 500)).status(), 503);
+    assert_eq!(figure(&node, "replies.look.overload"), 1);
+    assert_eq!((figure(&node, "replies.look.success"), figure(&node, "dispatches")), (7, 10));
+}
+
 // ---- Replacing the process ----
 
 /// Its longest deadline and 0.7 s after SIGTERM, a process is killed.
