--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -54,7 +54,7 @@
     let entries = (1..=3).map(|id| entry(id, Listed::Up)).collect();
     tell(&mut balancer, 0.0, Event::List { entries, saved: false });
 
-    let ask = |id, now| Event::Request { id, class: 0, tenant: None, deadline: now + 500.0 };
+    let ask = |id, now| Event::Request { id, class: 0, tenant: None, deadline: now + 500.0, coming: false };
     let first = RequestId(1);
     let server = tell(&mut balancer, 10.0, ask(first, 10.0)).expect("three servers are ready");
     tell(&mut balancer, 22.0, ended(first, 0, server, Outcome::Done));
--- a/src/api.rs
+++ b/src/api.rs
@@ -312,6 +312,16 @@
         /// When the client gives up. A repeat of a refused request whose client still counts from its first
         /// asking comes with less time than a new one, and is treated as the older one that it is.
         deadline: Millis,
+        /// Its body is passed on as it comes. Until it is whole its server has no work of it; it can be sent
+        /// just once.
+        coming: bool,
+    },
+    /// A request that was coming is whole: its time counts from now on.
+    Whole {
+        /// The request.
+        id: RequestId,
+        /// When the client gives up.
+        deadline: Millis,
     },
     /// A streamed answer has begun; the client is bound to this attempt.
     Streaming {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -150,7 +150,19 @@
     stagger: f64,
 }
 
+/// Where the body of a request is.
+#[derive(Clone, Copy, PartialEq)]
+enum Body {
+    /// At the node, for as many attempts as it takes.
+    Kept,
+    /// On its way through; its server has no work of it yet.
+    Coming,
+    /// At its server alone.
+    Passed,
+}
+
 struct Request {
+    body: Body,
     class: usize,
     tenant: Option<usize>,
     in_share: bool,
@@ -269,7 +281,8 @@
         let mut ran = self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran));
         if to.is_some() {
             let pending = self.attempts.iter().any(|a| a.outcome.is_none());
-            if self.attempts.len() >= limits.attempts || (pending && !limits.second_copies) {
+            let most = if self.body == Body::Kept { limits.attempts } else { 1 };
+            if self.attempts.len() >= most || (pending && !limits.second_copies) {
                 return false;
             }
         }
@@ -358,9 +371,11 @@
                 self.regroup();
             }
             Event::Enable { server, returned } => self.on_enabled(server, returned),
-            Event::Request { id, class, tenant, deadline } => {
-                self.on_request(id, class, tenant, deadline, actions);
+            Event::Request { id, class, tenant, deadline, coming } => {
+                let body = if coming { Body::Coming } else { Body::Kept };
+                self.on_request(id, class, tenant, deadline, body, actions);
             }
+            Event::Whole { id, deadline } => self.on_whole(id, deadline),
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt, actions),
             Event::Ended { id, attempt, server, outcome, took, finished } => {
                 self.on_ended(id, attempt, server, outcome, took, finished, actions);
@@ -807,6 +822,7 @@
         class: usize,
         tenant: Option<usize>,
         deadline: Millis,
+        body: Body,
         actions: &mut Vec<Action>,
     ) {
         if self.requests.contains_key(&id) {
@@ -826,13 +842,29 @@
         let attempts = Vec::new();
         let came = self.now;
         let asked = came - self.age(class, deadline);
-        let request = Request { class, tenant, in_share, asked, came, deadline, attempts, streaming: false };
+        let streaming = false;
+        let request = Request { body, class, tenant, in_share, asked, came, deadline, attempts, streaming };
         self.tally(&request, |care| &mut care.asked);
         self.requests.insert(id, request);
         self.waiting.push(id);
         self.serve_waiting(actions);
     }
 
+    /// The time of a request that was coming counts from its last byte. Only then has its server work of it.
+    fn on_whole(&mut self, id: RequestId, deadline: Millis) {
+        let coming = self.requests.get(&id).filter(|r| r.body == Body::Coming);
+        let Some(class) = coming.map(|r| r.class) else { return };
+        let asked = self.now - self.age(class, deadline);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        (request.body, request.asked, request.came, request.deadline) =
+            (Body::Passed, asked, self.now, deadline);
+        for (attempt, a) in request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
+            if let Some(server) = self.servers.get_mut(&a.server) {
+                server.out.push((id, attempt, self.now));
+            }
+        }
+    }
+
     /// How long ago the client first asked. A client that comes back after a refusal still gives up when the
     /// time of its first asking ends: to take its request for a new one would spend work on what can no
     /// longer be in time. The most time that a class's requests ever had left is that of new ones. Where
@@ -905,11 +937,13 @@
             return;
         };
         let (zone, cell) = (server.entry.zone, server.entry.cell);
-        server.out.push((id, request.attempts.len(), self.now));
+        let alone = server.out.is_empty();
+        if request.body == Body::Kept {
+            server.out.push((id, request.attempts.len(), self.now));
+        }
         let allowed = server.allowed(self.fleet, least);
         let rested = self.now - server.last_sent;
         (server.last_sent, server.stagger) = (self.now, 1.0);
-        let alone = server.out.len() == 1;
         let at_limit =
             if allowed < 1.0 { rested <= 2.0 * rest } else { 2.0 * server.out.len() as f64 >= allowed };
         request.attempts.push(Attempt {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use super::bodies::Outgoing;
 use super::clients::plain;
 use super::log;
 use super::node::Node;
@@ -98,10 +98,10 @@
         let _ = timeout(LINGER, sock.linger()).await;
     }
 
-    fn answer(&self, method: &Method, path: &str) -> Response<Full<Bytes>> {
+    fn answer(&self, method: &Method, path: &str) -> Response<Outgoing> {
         match path {
             "/metrics" => only(Method::GET, method, || {
-                let mut answer = Response::new(Full::from(self.node.figures()));
+                let mut answer = Response::new(Outgoing::held(Bytes::from(self.node.figures())));
                 answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
                 answer
             }),
@@ -111,7 +111,7 @@
     }
 
     /// A call that takes a server out or gives it back; `None` where the path is no such call.
-    fn maintain(&self, method: &Method, path: &str) -> Option<Response<Full<Bytes>>> {
+    fn maintain(&self, method: &Method, path: &str) -> Option<Response<Outgoing>> {
         let (what, id) = path.strip_prefix("/app-servers/")?.split_once('/')?;
         let out = match what {
             "disable" => true,
@@ -136,11 +136,7 @@
 }
 
 /// The answer to a call that has just one method.
-fn only(
-    wanted: Method,
-    method: &Method,
-    answer: impl FnOnce() -> Response<Full<Bytes>>,
-) -> Response<Full<Bytes>> {
+fn only(wanted: Method, method: &Method, answer: impl FnOnce() -> Response<Outgoing>) -> Response<Outgoing> {
     if *method == wanted {
         return answer();
     }
--- a/src/net/bodies.rs
+++ b/src/net/bodies.rs
@@ -1,15 +1,21 @@
 //! Bodies on their way through the node.
 
+use std::cell::Cell;
 use std::fmt;
 use std::future::Future;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::sync::Notify;
 use tokio::time::{sleep_until, Sleep};
 
+use super::metrics::{End, Taken};
+
 /// How slowly a body may come.
 #[derive(Clone, Copy)]
 pub struct Pace {
@@ -17,6 +23,8 @@
     pub wait: Duration,
     /// ... and how much longer for each KiB that has come.
     pub per_kib: Duration,
+    /// The longest that it may be, in bytes.
+    pub most: usize,
 }
 
 /// Why a body ended early.
@@ -24,6 +32,8 @@
 pub enum Cut {
     /// It came too slowly.
     Slow,
+    /// It is longer than it may be.
+    Long,
     /// Its connection broke, or it can't be read.
     Broken(hyper::Error),
 }
@@ -32,6 +42,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Slow => write!(f, "came too slowly"),
+            Self::Long => write!(f, "longer than it may be"),
             Self::Broken(error) => write!(f, "{error}"),
         }
     }
@@ -84,6 +95,9 @@
         }
         if let Some(data) = frame.as_ref().and_then(|f| f.as_ref().ok()?.data_ref()) {
             this.came += data.len();
+            if this.came > this.pace.most {
+                return Poll::Ready(Some(Err(Cut::Long)));
+            }
         }
         Poll::Ready(frame.map(|f| f.map_err(Cut::Broken)))
     }
@@ -96,3 +110,254 @@
         self.body.size_hint()
     }
 }
+
+/// The bytes that may be held at a time, of all bodies together.
+#[derive(Clone)]
+pub struct Budget(Rc<Cell<usize>>);
+
+/// A part of the budget, until it is dropped.
+pub struct Held {
+    budget: Budget,
+    bytes: usize,
+}
+
+impl Budget {
+    /// So many bytes.
+    pub fn new(bytes: usize) -> Self {
+        Self(Rc::new(Cell::new(bytes)))
+    }
+
+    /// Takes so many bytes; `None` where fewer are left.
+    pub fn take(&self, bytes: usize) -> Option<Held> {
+        self.0.set(self.0.get().checked_sub(bytes)?);
+        Some(Held { budget: self.clone(), bytes })
+    }
+}
+
+impl Held {
+    /// Gives back what is not needed.
+    pub fn shrink(&mut self, bytes: usize) {
+        let over = self.bytes.saturating_sub(bytes);
+        self.bytes -= over;
+        self.budget.0.set(self.budget.0.get() + over);
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.shrink(0);
+    }
+}
+
+/// What has become of a body that is passed on as it comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It is coming.
+    Coming,
+    /// All of it was handed on.
+    Whole,
+    /// Its sender broke off, or was too slow.
+    Cut,
+    /// Nobody takes the rest.
+    Dropped,
+}
+
+/// Where the fate of a body can be seen.
+#[derive(Clone)]
+pub struct Passage(Rc<(Cell<Fate>, Notify)>);
+
+impl Passage {
+    /// For a body that is coming.
+    fn new() -> Self {
+        Self(Rc::new((Cell::new(Fate::Coming), Notify::new())))
+    }
+
+    /// What has become of the body.
+    pub fn fate(&self) -> Fate {
+        self.0 .0.get()
+    }
+
+    /// Waits until it is no longer coming; for one caller at a time.
+    pub async fn ended(&self) -> Fate {
+        while self.fate() == Fate::Coming {
+            self.0 .1.notified().await;
+        }
+        self.fate()
+    }
+
+    fn end(&self, fate: Fate) {
+        if self.fate() == Fate::Coming {
+            self.0 .0.set(fate);
+            self.0 .1.notify_waiters();
+        }
+    }
+}
+
+/// Longer than anything lasts here.
+const NEVER: Duration = Duration::from_secs(86_400);
+/// The largest body that is held whole.
+pub const HELD_MOST: usize = 64 * 1024;
+
+/// A body that is held whole.
+pub struct Kept {
+    /// All of it.
+    pub bytes: Bytes,
+    /// Its part of the budget; the node's own few words need none.
+    _held: Option<Held>,
+}
+
+impl From<Bytes> for Kept {
+    fn from(bytes: Bytes) -> Self {
+        Self { bytes, _held: None }
+    }
+}
+
+/// A body as far as it was read before it goes on.
+pub enum Gathered {
+    /// All of it.
+    Whole(Kept),
+    /// The rest is passed on as it comes.
+    Coming(Coming),
+}
+
+/// Reads a body whole, if it is short and the budget has room for it; else up to its first bytes. One whose
+/// length was not said is read for so long after its first bytes.
+pub async fn gather(mut body: Paced, budget: &Budget, hold: Duration) -> Result<Gathered, Cut> {
+    let said = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
+    let most = said.unwrap_or(HELD_MOST);
+    let mut held = if most > HELD_MOST { None } else { budget.take(most) };
+    let mut bytes = BytesMut::new();
+    let mut over = pin!(tokio::time::sleep(NEVER));
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = &mut over => break,
+        };
+        let Some(frame) = frame else {
+            if let Some(held) = &mut held {
+                held.shrink(bytes.len());
+            }
+            return Ok(Gathered::Whole(Kept { bytes: bytes.freeze(), _held: held }));
+        };
+        let Ok(data) = frame?.into_data() else { continue };
+        if said.is_none() && bytes.is_empty() {
+            over.as_mut().reset((Instant::now() + hold).into());
+        }
+        bytes.extend_from_slice(&data);
+        if bytes.len() > HELD_MOST || held.is_none() {
+            break;
+        }
+    }
+    Ok(Gathered::Coming(Coming::new(bytes.freeze(), body)))
+}
+
+/// A body that goes out: held whole, or passed on as it comes.
+pub enum Outgoing {
+    /// Held; `None` once it is out.
+    Whole(Option<Kept>),
+    /// Passed on.
+    Coming(Coming),
+}
+
+/// A body that is passed on as it comes.
+pub struct Coming {
+    /// What was read of it before.
+    first: Option<Bytes>,
+    rest: Paced,
+    passage: Passage,
+    /// The request that ends with it.
+    taken: Option<Taken>,
+}
+
+impl Coming {
+    /// A body of which `first` has been read.
+    pub fn new(first: Bytes, rest: Paced) -> Self {
+        Self { first: Some(first).filter(|f| !f.is_empty()), rest, passage: Passage::new(), taken: None }
+    }
+
+    /// Where its fate can be seen.
+    pub fn passage(&self) -> Passage {
+        self.passage.clone()
+    }
+
+    /// The request ends with this body, as served if all of it goes out.
+    pub fn ends(&mut self, taken: Taken) {
+        self.taken = Some(taken);
+    }
+
+    fn end(&mut self, fate: Fate) {
+        self.passage.end(fate);
+        if let Some(mut taken) = self.taken.take() {
+            taken.end = if self.passage.fate() == Fate::Whole { End::Success } else { End::Error };
+        }
+    }
+}
+
+impl Drop for Coming {
+    fn drop(&mut self) {
+        // A body whose length was said is not asked for more once it has all come.
+        let whole = self.first.is_none() && self.rest.is_end_stream();
+        self.end(if whole { Fate::Whole } else { Fate::Dropped });
+    }
+}
+
+impl Outgoing {
+    /// What is held whole.
+    pub fn held(kept: impl Into<Kept>) -> Self {
+        Self::Whole(Some(kept.into()).filter(|k| !k.bytes.is_empty()))
+    }
+
+    /// Where the fate of one that is coming can be seen.
+    pub fn passage(&self) -> Option<Passage> {
+        match self {
+            Self::Whole(..) => None,
+            Self::Coming(coming) => Some(coming.passage()),
+        }
+    }
+
+    /// Its length, if that is known.
+    pub fn length(&self) -> Option<u64> {
+        self.size_hint().exact()
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let coming = match &mut *self {
+            Self::Whole(kept) => return Poll::Ready(kept.take().map(|k| Ok(Frame::data(k.bytes)))),
+            Self::Coming(coming) => coming,
+        };
+        if let Some(first) = coming.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        let frame = ready!(Pin::new(&mut coming.rest).poll_frame(cx));
+        match &frame {
+            Some(Ok(_)) if !coming.rest.is_end_stream() => {}
+            Some(Ok(_)) | None => coming.end(Fate::Whole),
+            Some(Err(_)) => coming.end(Fate::Cut),
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(kept) => kept.is_none(),
+            Self::Coming(coming) => coming.first.is_none() && coming.rest.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(kept) => SizeHint::with_exact(kept.as_ref().map_or(0, |k| k.bytes.len() as u64)),
+            Self::Coming(coming) => {
+                let first = coming.first.as_ref().map_or(0, |f| f.len() as u64);
+                let rest = coming.rest.size_hint().exact();
+                rest.map_or_else(SizeHint::new, |rest| SizeHint::with_exact(first + rest))
+            }
+        }
+    }
+}
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -18,12 +17,12 @@
 use tokio::time::timeout;
 use tulipmount::{Effect, Millis, RequestId};
 
-use super::bodies::{Cut, Pace, Paced};
+use super::bodies::{gather, Coming, Cut, Fate, Gathered, Kept, Outgoing, Pace, Paced, Passage};
 use super::log;
-use super::metrics::End;
+use super::metrics::{End, Taken};
 use super::node::{Answer, Node, Reply};
-use super::servers::{BODY_MOST, REMAINING};
-use super::sock::{Io, Phase, Sock};
+use super::servers::REMAINING;
+use super::sock::{Io, Length, Phase, Sock};
 
 /// How long before the client's deadline the module's ends: the answer still has to be written and to
 /// arrive.
@@ -32,17 +31,21 @@
 const GUARD: Duration = Duration::from_millis(9);
 /// The longest deadline that is believed.
 const LONGEST: u64 = 600_000;
-/// How long a request's head may take to come, the first from the connection's beginning on, and an answer to be
-/// taken.
+/// How long a request's head may take to come, the first from the connection's beginning on.
 /// Whoever sends nothing proper is owed a close within 3 s; one without a request may be closed after 2 s.
 const READING: Duration = Duration::from_millis(2200);
+/// How long a client may read nothing of an answer.
+const UNREAD: Duration = Duration::from_secs(10);
 /// How slowly the body of a request may come: at half of the pace that clients may have, and whoever sends a head
 /// and no more is still owed its close.
-const SENDING: Pace = Pace { wait: Duration::from_millis(2000), per_kib: Duration::from_millis(32) };
+const SENDING: Pace =
+    Pace { wait: Duration::from_millis(2000), per_kib: Duration::from_millis(32), most: BODY_MOST };
 /// A request that takes longer to come is logged.
 const SLOW: Duration = Duration::from_millis(10);
 /// How long a connection is read after its last answer, so that a reset does not overtake it.
-const LINGER: Duration = Duration::from_millis(500);
+const LINGER: Duration = Duration::from_millis(2000);
+/// The longest body of a request.
+const BODY_MOST: usize = 32 << 20;
 /// The largest head of a request.
 const HEAD_MOST: usize = 32 * 1024;
 /// A connection that has just come gets this long to bring its request, before it is closed as idle.
@@ -69,7 +72,45 @@
     /// The headers that go on.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: AskedBody,
+}
+
+/// The body of a request.
+pub enum AskedBody {
+    /// Held whole, for as many attempts as it takes.
+    Kept(Kept),
+    /// Passed on as it comes, in one attempt.
+    Coming(RefCell<Option<Coming>>, Passage),
+}
+
+impl AskedBody {
+    /// What one attempt sends; `None` where an earlier one has taken it.
+    pub fn outgoing(&self) -> Option<Outgoing> {
+        match self {
+            Self::Kept(kept) => Some(Outgoing::held(kept.bytes.clone())),
+            Self::Coming(coming, _) => coming.take().map(Outgoing::Coming),
+        }
+    }
+
+    /// Where the fate of one that is coming can be seen.
+    pub fn passage(&self) -> Option<&Passage> {
+        match self {
+            Self::Kept(..) => None,
+            Self::Coming(_, passage) => Some(passage),
+        }
+    }
+}
+
+impl From<Gathered> for AskedBody {
+    fn from(body: Gathered) -> Self {
+        match body {
+            Gathered::Whole(kept) => Self::Kept(kept),
+            Gathered::Coming(coming) => {
+                let passage = coming.passage();
+                Self::Coming(RefCell::new(Some(coming)), passage)
+            }
+        }
+    }
 }
 
 impl Asked {
@@ -78,7 +119,14 @@
         let mut headers = HeaderMap::new();
         headers.insert(HOST, HeaderValue::from_static("service.internal"));
         let uri = Uri::from_static("/health");
-        Self { class: 0, tenant: None, method: Method::GET, uri, headers, body: Bytes::new() }
+        Self {
+            class: 0,
+            tenant: None,
+            method: Method::GET,
+            uri,
+            headers,
+            body: AskedBody::Kept(Bytes::new().into()),
+        }
     }
 
     /// Its id, for the log.
@@ -174,11 +222,16 @@
         }
     }
 
-    /// Closes connections on which a request, or the first one, takes too long to come, or an answer is not read.
+    /// Closes connections on which a request's head takes too long to come, or an answer is not read.
     pub fn sweep(&self) {
         for client in self.open.borrow().values() {
             let (phase, since) = client.sock.phase();
-            if matches!(phase, Phase::New | Phase::Reading | Phase::Answering) && since.elapsed() >= READING {
+            let slow = match phase {
+                Phase::New | Phase::Reading => since.elapsed() >= READING,
+                Phase::Answering => client.sock.stalled() >= UNREAD,
+                _ => false,
+            };
+            if slow {
                 client.close.notify_one();
             }
         }
@@ -207,6 +260,7 @@
             let open = self.open.borrow();
             let rank = |c: &Client| match c.sock.phase() {
                 (Phase::New, since) if since.elapsed() < FRESH => None,
+                (Phase::Ending, since) => Some((0, since)),
                 (Phase::New | Phase::Idle, since) if c.sock.quiet() => Some((0, since)),
                 (Phase::Reading | Phase::Body, since) if since.elapsed() >= READING / 2 => Some((1, since)),
                 _ => None,
@@ -245,18 +299,25 @@
             .max_buf_size(HEAD_MOST)
             .auto_date_header(false)
             .serve_connection(Io(client.sock.clone()), service);
-        tokio::select! {
-            // What breaks a client's connection is the client's to see.
-            _ = conn => {
-                let _ = timeout(LINGER, client.sock.linger()).await;
+        let talk = async {
+            let ended = conn.await;
+            if ended.is_err() && client.sock.phase().0 == Phase::Answering {
+                // Whatever the answer's framing, its end must not look like a whole one's.
+                client.sock.reset();
+                return;
             }
+            client.sock.enter(Phase::Ending);
+            let _ = timeout(LINGER, client.sock.linger()).await;
+        };
+        tokio::select! {
+            () = talk => {}
             () = client.close.notified() => {}
         }
     }
 }
 
 /// Answers one request.
-async fn respond(node: Rc<Node>, sock: Rc<Sock>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn respond(node: Rc<Node>, sock: Rc<Sock>, request: Request<Incoming>) -> Response<Outgoing> {
     let began = sock.arrived();
     let head = *request.method() == Method::HEAD;
     let mut answer = if request.uri().path() == "/ready" {
@@ -284,18 +345,14 @@
     if node.closing.get() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    sock.begin(if head { 0 } else { body_length(&answer) }, None);
+    sock.begin(if head { Length::Of(0) } else { Length::of(answer.body()) }, None);
     sock.enter(Phase::Answering);
     answer
 }
 
-fn body_length(answer: &Response<Full<Bytes>>) -> usize {
-    hyper::body::Body::size_hint(answer.body()).exact().unwrap_or(0) as usize
-}
-
 /// An answer without a body.
-pub fn plain(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::default());
+pub fn plain(status: StatusCode) -> Response<Outgoing> {
+    let mut answer = Response::new(Outgoing::held(Bytes::new()));
     *answer.status_mut() = status;
     answer
 }
@@ -320,27 +377,57 @@
 }
 
 /// Hands the request to the node and waits for its final answer.
-async fn settle(node: &Rc<Node>, asked: Asked, remaining: Duration) -> Response<Full<Bytes>> {
+async fn settle(node: &Rc<Node>, asked: Asked, remaining: Duration) -> Response<Outgoing> {
     // A request's time counts from its last byte.
     let came = Instant::now();
-    let last = came + remaining;
-    let (margin, guard) = margins(remaining);
     let mut taken = node.metrics.take(asked.class);
     if !node.has_room() {
         taken.end = End::Overload;
         return refusal(0.0);
     }
-    let txn = asked.txn().to_string();
-    let (id, answered) = node.request(asked, last - margin);
+    let (margin, guard) = margins(remaining);
+    let (txn, passage) = (asked.txn().to_string(), asked.body.passage().cloned());
+    let (id, mut answered) = node.request(asked, came + remaining - margin);
     let mut owed = Owed { node: node.clone(), id, txn, came, answered: false };
-    let Some(answer) = in_time(last - guard, answered).await else {
+    if let Some(passage) = passage {
+        let whole = tokio::select! {
+            biased;
+            fate = passage.ended() => fate == Fate::Whole,
+            early = &mut answered => {
+                owed.answered = true;
+                return early.map_or_else(|_| plain(StatusCode::BAD_GATEWAY), |answer| word(answer, taken));
+            }
+        };
+        owed.came = Instant::now();
+        if whole {
+            node.whole(id, owed.came + remaining - margin);
+        }
+    }
+    let Some(answer) = in_time(owed.came + remaining - guard, answered).await else {
         return plain(StatusCode::GATEWAY_TIMEOUT);
     };
     owed.answered = true;
+    word(answer, taken)
+}
+
+/// Words the final answer. What is passed on as it comes ends the request when it ends.
+fn word(answer: Answer, mut taken: Taken) -> Response<Outgoing> {
     match answer {
         Answer::Served(reply) => {
-            taken.end = End::Success;
-            served(reply)
+            let Reply { headers, body } = *reply;
+            let body = match body {
+                Gathered::Whole(kept) => {
+                    taken.end = End::Success;
+                    Outgoing::held(kept)
+                }
+                Gathered::Coming(mut coming) => {
+                    coming.ends(taken);
+                    Outgoing::Coming(coming)
+                }
+            };
+            let mut answer = Response::new(body);
+            *answer.headers_mut() = headers;
+            answer
         }
         Answer::Refused(stay_away) => {
             taken.end = End::Overload;
@@ -362,14 +449,8 @@
     tokio::time::timeout_at(last.into(), answered).await.ok()?.ok()
 }
 
-fn served(reply: Reply) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(reply.body));
-    *answer.headers_mut() = reply.headers;
-    answer
-}
-
 /// A refusal, with the module's word on when to come back in decimal seconds.
-fn refusal(stay_away: Millis) -> Response<Full<Bytes>> {
+fn refusal(stay_away: Millis) -> Response<Outgoing> {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
     if stay_away > 0.0 {
         if let Ok(span) = HeaderValue::from_str(&format!("{:.3}", stay_away / 1000.0)) {
@@ -428,15 +509,11 @@
         uri = uri.path_and_query(path.clone());
     }
     let uri = uri.build().map_err(|_| unread(StatusCode::BAD_REQUEST))?;
-    let body = match Limited::new(Paced::new(body, SENDING), BODY_MOST).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<LengthLimitError>() => {
-            return Err(Bad { status: StatusCode::PAYLOAD_TOO_LARGE, closes: true })
-        }
-        Err(e) if matches!(e.downcast_ref(), Some(Cut::Slow)) => {
-            return Err(Bad { status: StatusCode::REQUEST_TIMEOUT, closes: true })
-        }
-        Err(_) => return Err(Bad { status: StatusCode::BAD_REQUEST, closes: true }),
+    let body = match gather(Paced::new(body, SENDING), &node.budget, SENDING.wait).await {
+        Ok(body) => body.into(),
+        Err(Cut::Slow) => return Err(Bad { status: StatusCode::REQUEST_TIMEOUT, closes: true }),
+        Err(Cut::Long) => return Err(Bad { status: StatusCode::PAYLOAD_TOO_LARGE, closes: true }),
+        Err(Cut::Broken(_)) => return Err(Bad { status: StatusCode::BAD_REQUEST, closes: true }),
     };
     let mut headers = end_to_end(&parts.headers);
     headers.remove(REMAINING);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -24,12 +24,16 @@
     pub seed: u64,
     /// The most file descriptors that the process may hold.
     pub sockets: usize,
+    /// The memory that the process may take, in bytes.
+    pub memory: usize,
     /// The list of servers as last had.
     pub known: Option<Update>,
     /// The settings.
     pub told: Told,
 }
 
+/// Memory where the configuration names no limit.
+const MEMORY_MB: f64 = 192.0;
 /// Descriptors where the configuration names no limit.
 const SOCKETS: u64 = 1024;
 /// The fewest that a node can do anything with.
@@ -88,6 +92,7 @@
         seed: u64::from_str_radix(seed, 16)
             .map_err(|_| format!("seed: hex digits expected, not {seed:?}"))?,
         sockets: sockets(value)?,
+        memory: memory(value)?,
         known,
         told,
     })
@@ -99,6 +104,14 @@
     fd.ok_or_else(|| format!("BALANCER_INHERITED_FD: a descriptor's number above 2 expected, not {words:?}"))
 }
 
+fn memory(value: &Value) -> Result<usize, String> {
+    let mb = match value.get("limits").and_then(|l| l.get("memory_mb")) {
+        None => MEMORY_MB,
+        Some(v) => v.as_f64().filter(|mb| *mb >= 1.0).ok_or("limits.memory_mb: 1 or more expected")?,
+    };
+    Ok((mb * 1024.0 * 1024.0) as usize)
+}
+
 fn sockets(value: &Value) -> Result<usize, String> {
     let told = value.get("limits").and_then(|l| l.get("sockets"));
     let count = match told {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
@@ -17,6 +16,7 @@
 };
 
 use super::bans::{Bans, Change};
+use super::bodies::{Budget, Gathered};
 use super::clients::Asked;
 use super::config::Config;
 use super::discovery::{self, Update};
@@ -30,25 +30,27 @@
 /// to end within 6 s, once this one is ready, and is killed 3.7 s later at the latest.
 const OVERLAP: Duration = Duration::from_secs(10);
 
+/// The part of the node's memory that bodies may have while they are held whole.
+const BODIES_SHARE: usize = 3;
 /// How often it is looked whether the node can serve.
 const LOOK: Duration = Duration::from_millis(10);
 
 /// The final answer of a request.
 pub enum Answer {
     /// A server's answer.
-    Served(Reply),
+    Served(Box<Reply>),
     /// Refused: trying again is harmless, after this time.
     Refused(Millis),
     /// Failed.
     Failed,
 }
 
-/// A server's answer that was read whole.
+/// A server's answer.
 pub struct Reply {
     /// Its headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Gathered,
 }
 
 /// Monotonic time for the module, and its relation to Unix time at the start.
@@ -119,6 +121,8 @@
     pub config: Config,
     /// Its connections to servers.
     pub pool: Pool,
+    /// The bytes of bodies that it may hold.
+    pub budget: Budget,
     /// What it counts.
     pub metrics: Rc<Metrics>,
     /// Set once the node is to end: answers then close their connections.
@@ -164,6 +168,7 @@
         };
         let node = Rc::new(Self {
             pool: Pool::new(&config),
+            budget: Budget::new(config.memory / BODIES_SHARE),
             metrics: Metrics::new(config.told.classes.len()),
             discovery: Cell::new(config.discovery),
             config,
@@ -271,7 +276,7 @@
         deadline: Instant,
     ) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, answered) = oneshot::channel();
-        let (class, tenant) = (asked.class, asked.tenant);
+        let (class, tenant, coming) = (asked.class, asked.tenant, asked.body.passage().is_some());
         let id = {
             let mut state = self.state.borrow_mut();
             state.last_id += 1;
@@ -280,10 +285,20 @@
             state.requests.insert(id, open);
             id
         };
-        self.feed(Event::Request { id, class, tenant, deadline: self.clock.at(deadline) });
+        self.feed(Event::Request { id, class, tenant, deadline: self.clock.at(deadline), coming });
         (id, answered)
     }
 
+    /// A request that was coming is whole; its answer must be on its way at `deadline`.
+    pub fn whole(self: &Rc<Self>, id: RequestId, deadline: Instant) {
+        if let Some(open) = self.state.borrow_mut().requests.get_mut(&id) {
+            for out in open.attempts.iter_mut().filter(|t| t.task.is_some()) {
+                out.sent = Instant::now();
+            }
+        }
+        self.feed(Event::Whole { id, deadline: self.clock.at(deadline) });
+    }
+
     /// How many requests await their final answer.
     pub fn open_requests(&self) -> usize {
         self.state.borrow().requests.values().filter(|r| r.answer.is_some()).count()
@@ -350,7 +365,7 @@
                 });
             }
             if let Some(reply) = reply {
-                give(open, Answer::Served(reply));
+                give(open, Answer::Served(Box::new(reply)));
             }
             let finished = open.answer.is_none();
             Event::Ended { id, attempt, server, outcome, took, finished }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -11,23 +11,29 @@
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::header::{HeaderName, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION};
 use hyper::{HeaderMap, Request, StatusCode};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
 use tulipmount::{Outcome, RequestId, ServerId};
 
+use super::bodies::{gather, Cut, Fate, Gathered, Outgoing, Pace, Paced, Passage};
 use super::clients::{end_to_end, Asked};
 use super::config::Config;
 use super::log;
 use super::node::{Node, Reply};
-use super::sock::{Io, Sock};
+use super::sock::{Io, Length, Sock};
 
-/// The largest body that is passed on.
-pub const BODY_MOST: usize = 64 * 1024;
+/// How slowly the body of an answer may come: whoever sends nothing for so long is taken for dead.
+const ANSWERING: Pace =
+    Pace { wait: Duration::from_secs(10), per_kib: Duration::from_millis(125), most: usize::MAX };
+/// The part of an attempt's time for which an answer without a length is held after its first bytes, in case
+/// it is a short one that breaks.
+const HOLD_SHARE: u32 = 4;
+/// How long a server may take nothing of a request that is coming.
+const STALL: Duration = Duration::from_secs(10);
 /// The largest head of an answer.
 const HEAD_MOST: usize = 32 * 1024;
 /// The part of the servers' keep-alive after which a connection is not used any more: one that is written to
@@ -45,8 +51,8 @@
 /// A connection between requests. It is not polled meanwhile: what happened to it is looked up before use.
 struct Link {
     sock: Rc<Sock>,
-    send: SendRequest<Full<Bytes>>,
-    conn: Connection<Io, Full<Bytes>>,
+    send: SendRequest<Outgoing>,
+    conn: Connection<Io, Outgoing>,
     since: Instant,
     _held: Held,
 }
@@ -176,11 +182,15 @@
     pub end: Instant,
 }
 
-/// Makes one attempt and tells the node how it ended.
+/// Makes one attempt and tells the node how it ended. What is left of an answer that has begun is passed on.
 pub async fn attempt(node: Rc<Node>, to: To, asked: Rc<Asked>) {
     let written = Some(node.metrics.dispatches());
-    let (outcome, reply) = exchange(&node, to.server, to.end, &asked, written).await;
+    let (outcome, reply, rest) = exchange(&node, to.server, to.end, &asked, written).await;
+    drop(asked);
     node.attempt_ended(to.id, to.attempt, outcome, reply);
+    if let Some(rest) = rest {
+        rest.pass_on(&node, to.server).await;
+    }
 }
 
 /// Probes a server and tells the node how it ended.
@@ -188,23 +198,52 @@
     let sent = Instant::now();
     // As long as a connection may take, and as long again for the answer.
     let end = sent + 2 * node.pool.connect;
-    let asked = Asked::probe();
-    let (outcome, _) = exchange(&node, server, end, &asked, None).await;
+    let (outcome, ..) = exchange(&node, server, end, &Asked::probe(), None).await;
     node.probed(server, outcome, sent.elapsed());
 }
 
-/// One request to a server, and how it ended.
+/// An answer that has begun, on its connection.
+struct Rest {
+    link: Link,
+    dial: SocketAddr,
+    passage: Passage,
+    length: Option<u64>,
+    keep: bool,
+}
+
+impl Rest {
+    /// Has the connection go on until its answer has ended.
+    async fn pass_on(mut self, node: &Node, server: ServerId) {
+        let fate = drive(&mut self.link.conn, self.passage.ended()).await;
+        if fate == Fate::Whole && self.keep && !over(&mut self.link.conn).await {
+            keep(node, server, self.dial, self.link, self.length);
+        }
+    }
+}
+
+/// Keeps a connection for the next request. One that has more to read than the answer would answer the next
+/// request with it; one to where the server is no more would bring it what is meant for it elsewhere.
+fn keep(node: &Node, server: ServerId, dial: SocketAddr, link: Link, length: Option<u64>) {
+    let sock = &link.sock;
+    if sock.whole() && node.dial(server) == Some(dial) && sock.heard_just(length) && sock.quiet() {
+        node.pool.put(server, link);
+    }
+}
+
+/// One request to a server, and how it ended; with what is still to come of an answer that has begun.
 async fn exchange(
     node: &Rc<Node>,
     server: ServerId,
     end: Instant,
     asked: &Asked,
     written: Option<Rc<Cell<u64>>>,
-) -> (Outcome, Option<Reply>) {
+) -> (Outcome, Option<Reply>, Option<Rest>) {
+    let over = |outcome| (outcome, None, None);
+    let time = end.saturating_duration_since(Instant::now());
     let mut pooled = node.pool.take(server);
     loop {
         // A drain holds from the moment it is told, also for what waited on a connection until now.
-        let Some(dial) = node.dial(server) else { return (Outcome::NotSent, None) };
+        let Some(dial) = node.dial(server) else { return over(Outcome::NotSent) };
         let reused = pooled.is_some();
         let link = match pooled.take() {
             Some(link) => Ok(link),
@@ -215,49 +254,62 @@
         };
         let mut link = match link {
             Ok(link) => link,
-            Err(outcome) => return (outcome, None),
+            Err(outcome) => return over(outcome),
         };
         if node.dial(server) != Some(dial) {
-            return (Outcome::NotSent, None);
+            return over(Outcome::NotSent);
         }
-        let idle = link.since.elapsed();
-        link.sock.begin(asked.body.len(), written.clone());
-        let request = request(asked, end);
-        let ended = timeout_at(end.into(), converse(&mut link, request)).await;
-        let (any, whole) = (link.sock.any(), link.sock.whole());
-        match ended {
-            // A kept connection that was closed before the first byte was written: nothing was sent, so this
-            // is still the same attempt.
-            Ok(Err(_)) if reused && !any => continue,
-            Ok(Ok(heard)) => {
-                // One that has more to read than the answer would answer the next request with it.
-                // One to where the server is no more would bring it what is meant for it elsewhere.
-                if heard.keep
-                    && whole
-                    && node.dial(server) == Some(dial)
-                    && link.sock.heard_just(heard.reply.body.len(), heard.chunked)
-                    && link.sock.quiet()
-                {
-                    node.pool.put(server, link);
+        let Some(body) = asked.body.outgoing() else { return over(Outcome::NotSent) };
+        let (sock, passage, idle) = (link.sock.clone(), body.passage(), link.since.elapsed());
+        sock.begin(Length::of(&body), written.clone());
+        let request = request(asked, body, end);
+        let given_up = async {
+            match &passage {
+                None => tokio::time::sleep_until(end.into()).await,
+                Some(passage) => {
+                    handed_on(passage, &sock).await;
+                    tokio::time::sleep(time).await;
                 }
-                return heard.judge();
             }
-            Ok(Err(Broken::Link)) if whole => {
+        };
+        let ended = tokio::select! {
+            biased;
+            heard = converse(node, &mut link, request, time / HOLD_SHARE) => Some(heard),
+            () = given_up => None,
+        };
+        let (any, whole) = (sock.any(), sock.whole());
+        return match ended {
+            // A kept connection that was closed before the first byte was written: nothing was sent, so this
+            // is still the same attempt.
+            Some(Err(_)) if reused && !any => continue,
+            Some(Ok(heard)) => heard.judge(node, server, dial, link),
+            // The request broke off, not the server.
+            Some(Err(_)) if passage.is_some_and(|p| p.fate() == Fate::Cut) => over(Outcome::NotSent),
+            Some(Err(Broken::Link)) if whole => {
                 let kind = if reused { "kept" } else { "new" };
                 log::trouble(|| format!("{kind} connection to {dial}, {idle:.1?} idle, broke"));
-                return (Outcome::Reset, None);
+                over(Outcome::Reset)
             }
-            Ok(Err(Broken::Garbled)) if whole => return (Outcome::Error, None),
-            Ok(Err(_)) => return (Outcome::ConnectFailed, None),
-            Err(_) if whole => return (Outcome::TimedOut, None),
-            Err(_) => return (Outcome::NotSent, None),
+            Some(Err(Broken::Garbled)) if whole => over(Outcome::Error),
+            Some(Err(_)) => over(Outcome::ConnectFailed),
+            None if whole => over(Outcome::TimedOut),
+            None => over(Outcome::NotSent),
+        };
+    }
+}
+
+/// Waits until a request that is coming has been handed on, for as long as its server takes any of it.
+async fn handed_on(passage: &Passage, sock: &Sock) {
+    while timeout(STALL, passage.ended()).await.is_err() {
+        if sock.stalled() >= STALL {
+            return;
         }
     }
 }
 
-fn request(asked: &Asked, end: Instant) -> Request<Full<Bytes>> {
+fn request(asked: &Asked, body: Outgoing, end: Instant) -> Request<Outgoing> {
     let left = end.saturating_duration_since(Instant::now()).as_millis() as u64;
-    let mut request = Request::new(Full::new(asked.body.clone()));
+    let mut request = Request::new(body);
     *request.method_mut() = asked.method.clone();
     *request.uri_mut() = asked.uri.clone();
     *request.headers_mut() = asked.headers.clone();
@@ -268,20 +320,43 @@
 /// What a server answered.
 struct Heard {
     status: StatusCode,
-    reply: Reply,
+    headers: HeaderMap,
+    body: Gathered,
+    /// Its length; `None` for chunks.
+    length: Option<u64>,
     keep: bool,
-    chunked: bool,
 }
 
 impl Heard {
-    fn judge(self) -> (Outcome, Option<Reply>) {
-        let away = self.reply.headers.get(TURNED_AWAY).is_some_and(|v| v == "1");
-        match self.status {
-            StatusCode::OK => (Outcome::Done, Some(self.reply)),
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if away => (Outcome::Full, None),
+    fn judge(
+        self,
+        node: &Node,
+        server: ServerId,
+        dial: SocketAddr,
+        link: Link,
+    ) -> (Outcome, Option<Reply>, Option<Rest>) {
+        let Self { status, headers, body, length, keep: keeps } = self;
+        let away = headers.get(TURNED_AWAY).is_some_and(|v| v == "1");
+        let rest = match &body {
+            Gathered::Whole(_) => {
+                if keeps {
+                    keep(node, server, dial, link, length);
+                }
+                None
+            }
+            Gathered::Coming(coming) => {
+                link.sock.narrow();
+                Some(Rest { link, dial, passage: coming.passage(), length, keep: keeps })
+            }
+        };
+        match status {
+            StatusCode::OK => (Outcome::Done, Some(Reply { headers, body }), rest),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if away => {
+                (Outcome::Full, None, None)
+            }
             _ => {
-                log::trouble(|| format!("answered {}", self.status));
-                (Outcome::Error, None)
+                log::trouble(|| format!("answered {status}"));
+                (Outcome::Error, None, None)
             }
         }
     }
@@ -308,40 +383,47 @@
     }
 }
 
-/// Writes a request and reads the answer whole. A second request on the connection is never begun here, and
-/// nothing is sent again.
-async fn converse(link: &mut Link, request: Request<Full<Bytes>>) -> Result<Heard, Broken> {
+impl From<Cut> for Broken {
+    fn from(cut: Cut) -> Self {
+        match cut {
+            Cut::Broken(error) => error.into(),
+            Cut::Slow | Cut::Long => Self::Garbled,
+        }
+    }
+}
+
+/// Writes a request and reads the answer, whole or up to its first bytes. A second request on the connection is
+/// never begun here, and nothing is sent again.
+async fn converse(
+    node: &Node,
+    link: &mut Link,
+    request: Request<Outgoing>,
+    hold: Duration,
+) -> Result<Heard, Broken> {
     let Link { send, conn, .. } = link;
     let talk = async {
         send.ready().await?;
         let answer = send.send_request(request).await?;
         let (parts, body) = answer.into_parts();
-        let body = Limited::new(body, BODY_MOST).collect().await;
-        let body = body.map_err(|e| match e.downcast::<hyper::Error>() {
-            Ok(error) => Broken::from(*error),
-            Err(e) => {
-                log::trouble(|| format!("answer not read: {e}"));
-                Broken::Garbled
-            }
-        })?;
-        Ok::<_, Broken>((parts, body.to_bytes()))
+        let length = body.size_hint().exact();
+        let body = gather(Paced::new(body, ANSWERING), &node.budget, hold).await?;
+        Ok::<_, Broken>((parts, length, body))
     };
-    let (parts, body) = drive(conn, talk).await?;
-    let closes = parts.headers.get("connection").is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+    let (parts, length, body) = drive(conn, talk).await?;
+    let closes = parts.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
     let headers: HeaderMap = end_to_end(&parts.headers);
-    let chunked = parts.headers.contains_key(TRANSFER_ENCODING);
     let keep = !closes && !over(conn).await;
-    Ok(Heard { status: parts.status, reply: Reply { headers, body }, keep, chunked })
+    Ok(Heard { status: parts.status, headers, body, length, keep })
 }
 
 /// Has the connection come to its end? hyper sees bytes behind the answer, and closes, only when polled.
-async fn over(conn: &mut Connection<Io, Full<Bytes>>) -> bool {
+async fn over(conn: &mut Connection<Io, Outgoing>) -> bool {
     let mut conn = pin!(conn);
     std::future::poll_fn(|cx| Poll::Ready(conn.as_mut().poll(cx).is_ready())).await
 }
 
 /// Polls the connection for as long as what goes on over it lasts.
-async fn drive<T>(conn: &mut Connection<Io, Full<Bytes>>, talk: impl Future<Output = T>) -> T {
+async fn drive<T>(conn: &mut Connection<Io, Outgoing>, talk: impl Future<Output = T>) -> T {
     let mut talk = pin!(talk);
     tokio::select! {
         biased;
--- a/src/net/sock.rs
+++ b/src/net/sock.rs
@@ -7,65 +7,67 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
+use super::bodies::{Fate, Outgoing, Passage, HELD_MOST};
+
 /// How much one read takes at the most.
 const CHUNK: usize = 16 * 1024;
+/// How much the kernel keeps of a long body on its way, in each direction.
+const KERNEL_MOST: usize = 128 * 1024;
+
+/// How long the body of a message is that is written.
+pub enum Length {
+    /// So many bytes.
+    Of(u64),
+    /// In chunks, until what is passed on is whole.
+    Chunks(Passage),
+}
+
+impl Length {
+    /// That of a body.
+    pub fn of(body: &Outgoing) -> Self {
+        match (body.length(), body.passage()) {
+            (None, Some(passage)) => Self::Chunks(passage),
+            (length, _) => Self::Of(length.unwrap_or(0)),
+        }
+    }
+}
+
+/// How the last of a message's chunks ends.
+const LAST_CHUNK: &[u8; 5] = b"0\r\n\r\n";
 
-/// How much of one HTTP message the kernel has taken.
+/// How much of one HTTP message has gone by.
 #[derive(Default)]
 struct Progress {
-    body: usize,
-    /// The last four bytes of the head so far.
-    tail: [u8; 4],
-    /// What is missing of the body; `None` until the head is out.
-    left: Option<usize>,
     any: bool,
+    /// The last five bytes so far.
+    last: [u8; 5],
+    /// How many bytes have come after the head; `None` until the head is over.
+    body: Option<u64>,
 }
 
 impl Progress {
     fn took(&mut self, bytes: &[u8]) {
         self.any |= !bytes.is_empty();
         let mut rest = bytes;
-        while self.left.is_none() {
+        while self.body.is_none() {
             let Some((byte, after)) = rest.split_first() else { return };
-            self.tail = [self.tail[1], self.tail[2], self.tail[3], *byte];
+            self.last.rotate_left(1);
+            self.last[4] = *byte;
             rest = after;
-            if &self.tail == b"\r\n\r\n" {
-                self.left = Some(self.body);
+            if self.last.ends_with(b"\r\n\r\n") {
+                self.body = Some(0);
             }
         }
-        self.left = self.left.map(|left| left.saturating_sub(rest.len()));
-    }
-
-    fn whole(&self) -> bool {
-        self.left == Some(0)
-    }
-}
-
-/// What came back: a head, and how many bytes behind it.
-struct Back {
-    head: Progress,
-    last: [u8; 5],
-}
-
-impl Default for Back {
-    fn default() -> Self {
-        Self { head: Progress { body: usize::MAX, ..Progress::default() }, last: [0; 5] }
-    }
-}
-
-impl Back {
-    fn came(&mut self, bytes: &[u8]) {
-        self.head.took(bytes);
-        let tail = &bytes[bytes.len().saturating_sub(5)..];
+        self.body = self.body.map(|body| body + rest.len() as u64);
+        let tail = &rest[rest.len().saturating_sub(5)..];
         self.last.copy_within(tail.len().., 0);
-        let keep = 5 - tail.len();
-        self.last[keep..].copy_from_slice(tail);
+        self.last[5 - tail.len()..].copy_from_slice(tail);
     }
 }
 
@@ -84,16 +86,22 @@
     Busy,
     /// Its answer is on its way out.
     Answering,
+    /// The last answer is out; what still comes is read for nobody.
+    Ending,
 }
 
 /// A watched socket.
 pub struct Sock {
     stream: TcpStream,
     out: RefCell<Progress>,
+    /// The length of the body that is written.
+    length: RefCell<Length>,
+    /// When the kernel last took something.
+    moved: Cell<Instant>,
     /// Raised once the kernel has taken the message's last byte.
     written: RefCell<Option<Rc<Cell<u64>>>>,
     /// What came back since the message was begun.
-    back: RefCell<Back>,
+    back: RefCell<Progress>,
     phase: Cell<Phase>,
     /// When the phase began; for reading the first request, when the connection came.
     since: Cell<Instant>,
@@ -112,6 +120,8 @@
         Ok(Rc::new(Self {
             stream,
             out: RefCell::default(),
+            length: RefCell::new(Length::Of(0)),
+            moved: Cell::new(now),
             written: RefCell::default(),
             back: RefCell::default(),
             phase: Cell::new(Phase::New),
@@ -121,10 +131,34 @@
     }
 
     /// A message with so long a body is about to be written; `written` counts it once it is.
-    pub fn begin(&self, body: usize, written: Option<Rc<Cell<u64>>>) {
+    pub fn begin(&self, length: Length, written: Option<Rc<Cell<u64>>>) {
+        if matches!(length, Length::Chunks(_)) || matches!(length, Length::Of(n) if n > HELD_MOST as u64) {
+            self.narrow();
+        }
         self.written.replace(written);
-        *self.out.borrow_mut() = Progress { body, ..Progress::default() };
-        *self.back.borrow_mut() = Back::default();
+        self.length.replace(length);
+        self.moved.set(Instant::now());
+        *self.out.borrow_mut() = Progress::default();
+        *self.back.borrow_mut() = Progress::default();
+    }
+
+    /// Has the kernel keep little of what is on its way: else a peer that reads slowly would have megabytes lie
+    /// there, and room for more, by which its progress is seen, would come in large steps.
+    pub fn narrow(&self) {
+        let sock = SockRef::from(&self.stream);
+        // Where the kernel refuses, it goes on as before.
+        let _ = sock.set_send_buffer_size(KERNEL_MOST).and_then(|()| sock.set_recv_buffer_size(KERNEL_MOST));
+    }
+
+    /// For how long the kernel has taken nothing.
+    pub fn stalled(&self) -> Duration {
+        self.moved.get().elapsed()
+    }
+
+    /// Has the connection end in a reset: what was written of an answer is not all of it.
+    pub fn reset(&self) {
+        // Where that fails the connection ends all the same.
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
     }
 
     /// Has the kernel taken any byte of the message?
@@ -134,7 +168,13 @@
 
     /// Has the kernel taken the message's last byte?
     pub fn whole(&self) -> bool {
-        self.out.borrow().whole()
+        let out = self.out.borrow();
+        match &*self.length.borrow() {
+            Length::Of(length) => out.body.is_some_and(|body| body >= *length),
+            Length::Chunks(passage) => {
+                out.body.is_some() && passage.fate() == Fate::Whole && &out.last == LAST_CHUNK
+            }
+        }
     }
 
     /// What a client's connection is in the middle of, and since when.
@@ -181,21 +221,19 @@
         }
     }
 
-    /// Was what came back one head and a body of this length as it stands, or else chunks up to the last? More
-    /// than that would be taken for the answer to the next request.
-    pub fn heard_just(&self, body: usize, chunked: bool) -> bool {
+    /// Was what came back one head and a body of this length, or else chunks up to the last? More than that
+    /// would be taken for the answer to the next request.
+    pub fn heard_just(&self, body: Option<u64>) -> bool {
         let back = self.back.borrow();
-        let came = back.head.left.map(|left| usize::MAX - left);
-        if chunked {
-            came.is_some() && &back.last == b"0\r\n\r\n"
-        } else {
-            came == Some(body)
+        match body {
+            Some(_) => back.body == body,
+            None => back.body.is_some() && &back.last == LAST_CHUNK,
         }
     }
 
     fn read(&self, came: &[u8]) {
         let bytes = came.len();
-        self.back.borrow_mut().came(came);
+        self.back.borrow_mut().took(came);
         if bytes > 0 && matches!(self.phase.get(), Phase::New | Phase::Idle) {
             self.began.set(Instant::now());
             if self.phase.replace(Phase::Reading) == Phase::Idle {
@@ -206,6 +244,7 @@
 
     fn took(&self, bytes: &[u8]) {
         self.out.borrow_mut().took(bytes);
+        self.moved.set(Instant::now());
         if self.whole() {
             if let Some(count) = self.written.take() {
                 count.set(count.get() + 1);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -354,6 +354,7 @@
                 class: index(&self.classes, at(2)).ok_or_else(|| "Band: unknown".to_string())?,
                 tenant: index(&self.tenants, at(3)),
                 deadline: number(at(5), "DropDead")?,
+                coming: false,
             },
             "STREAMING" => Event::Streaming { id: id()?, attempt: attempt()? },
             "RESPONSE" => Event::Ended {
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use peers::*;
+use serde_json::json;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -40,3 +41,196 @@
     assert_eq!(client.hear().expect("an answer").status(), 200);
     assert_eq!(server.seen()[1].body.len(), 61440);
 }
+
+fn one(script: impl Fn(&Message) -> Say + Send + Sync + 'static) -> (Peer, Registry) {
+    let server = Peer::new(script);
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    (server, registry)
+}
+
+/// So many bytes that differ from place to place.
+fn long(length: usize) -> Vec<u8> {
+    (0..length).map(|n| (n / 7 % 251) as u8).collect()
+}
+
+fn of_length(body: &[u8]) -> Vec<u8> {
+    [format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes(), body].concat()
+}
+
+/// A head and then chunks, with the last one or without.
+fn chunked(head: &str, body: &[u8], whole: bool) -> Vec<u8> {
+    let mut bytes = head.as_bytes().to_vec();
+    for chunk in body.chunks(10_000) {
+        bytes.extend([format!("{:x}\r\n", chunk.len()).as_bytes(), chunk, b"\r\n"].concat());
+    }
+    bytes.extend_from_slice(if whole { b"0\r\n\r\n" } else { b"" });
+    bytes
+}
+
+const OK_CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const OK_TO_THE_END: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+/// In every framing, to every kind of client, a long answer comes through unchanged.
+#[test]
+fn long_answers_pass_unchanged() {
+    let body = long(3_000_000);
+    let sent = body.clone();
+    let (server, registry) = one(move |m| match m.header("x-txn") {
+        Some("length") => Say::This(of_length(&sent)),
+        Some("chunks") => Say::This(chunked(OK_CHUNKED, &sent, true)),
+        _ => Say::Last([OK_TO_THE_END.as_bytes(), &sent].concat()),
+    });
+    let node = Node::ready(&config(registry.address));
+    let mut client = Client::to(&node);
+    for (n, txn) in ["length", "chunks", "end", "length", "chunks"].iter().enumerate() {
+        let heard = client.ask(&request("look", txn, 15_000));
+        assert_eq!((heard.status(), heard.body == body), (200, true), "{txn}");
+        let known = heard.header("content-length").is_some();
+        assert_eq!(known, *txn == "length", "{n}");
+    }
+    assert_eq!(server.seen()[4].conn, 2, "a connection is kept behind a long answer that has ended");
+    for txn in ["length", "chunks", "end"] {
+        let old = request("look", txn, 15_000).replace("HTTP/1.1", "HTTP/1.0");
+        let mut client = Client::to(&node);
+        client.send(&old);
+        let (bytes, in_order) = client.rest();
+        assert!(bytes.starts_with(b"HTTP/1.") && bytes.ends_with(&body) && in_order, "{txn}");
+    }
+}
+
+/// The first bytes of a long answer do not wait for the others, nor for its deadline.
+#[test]
+fn a_long_answer_is_passed_on_as_it_comes() {
+    let body = long(200_000);
+    let (first, rest) = (body[..500].to_vec(), body[500..].to_vec());
+    let (_server, registry) = one(move |m| {
+        let head = match m.header("x-txn") {
+            Some("length") => "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n",
+            _ => OK_TO_THE_END,
+        };
+        let start = [head.as_bytes(), &first].concat();
+        Say::Pieces(vec![(Duration::ZERO, start), (2500 * MS, rest.clone())], true)
+    });
+    let node = Node::ready(&config(registry.address));
+    for txn in ["length", "end"] {
+        let mut client = Client::to(&node);
+        let asked = Instant::now();
+        client.send(&request("look", txn, 1000));
+        let start = client.read(64);
+        assert!(
+            start.starts_with(b"HTTP/1.1 200 OK") && asked.elapsed() < 2000 * MS,
+            "{:?}",
+            asked.elapsed()
+        );
+        let mut whole = start;
+        while !whole.windows(8).any(|w| w == &body[199_992..]) {
+            let more = client.read(64 * 1024);
+            assert!(!more.is_empty(), "cut off after {} bytes", whole.len());
+            whole.extend(more);
+        }
+        assert!(asked.elapsed() > 2400 * MS, "past its deadline");
+    }
+}
+
+/// What breaks in the middle never looks whole, in any framing; a short one is asked for again.
+#[test]
+fn a_break_in_the_middle_is_seen_by_the_client() {
+    let body = long(300_000);
+    let sent = body.clone();
+    let (server, registry) = one(move |m| match m.header("x-txn") {
+        Some("length") => Say::Last(of_length(&sent)[..200_000].to_vec()),
+        _ => Say::Last(chunked(OK_CHUNKED, &sent[..200_000], false)),
+    });
+    let node = Node::ready(&config(registry.address));
+    for txn in ["length", "chunks"] {
+        for version in ["HTTP/1.1", "HTTP/1.0"] {
+            let mut client = Client::to(&node);
+            client.send(&request("look", txn, 15_000).replace("HTTP/1.1", version));
+            let (bytes, in_order) = client.rest();
+            let cut = bytes.len() < body.len();
+            let told = bytes.windows(15).any(|w| w.eq_ignore_ascii_case(b"content-length:"));
+            let chunks = bytes.windows(8).any(|w| w.eq_ignore_ascii_case(b"chunked\r"));
+            assert!(cut && (told || chunks || !in_order), "{txn} {version}: {} bytes", bytes.len());
+            assert!(!bytes.ends_with(b"0\r\n\r\n"));
+        }
+    }
+    assert_eq!(server.seen().len(), 4, "none was asked for again");
+}
+
+/// In every framing a long request comes through unchanged, and is sent once.
+#[test]
+fn long_requests_pass_unchanged() {
+    let body = long(1_000_000);
+    let (server, registry) = one(|m| match m.header("x-txn") {
+        Some("fails") => Say::This(answer(500, "", "")),
+        _ => Say::This(answer(200, "", "got it")),
+    });
+    let node = Node::ready(&config(registry.address));
+    let mut client = Client::to(&node);
+    for txn in ["length", "chunks", "fails"] {
+        if txn == "chunks" {
+            client.send_bytes(&chunked(&head(txn, 5000, "Transfer-Encoding: chunked"), &body, true));
+        } else {
+            client.send(&head(txn, 5000, "Content-Length: 1000000"));
+            client.send_bytes(&body);
+        }
+        let heard = client.hear().expect("an answer");
+        assert_eq!(heard.status(), if txn == "fails" { 502 } else { 200 }, "{txn}");
+    }
+    let seen = server.seen();
+    assert!(seen.iter().all(|m| m.body == body));
+    assert_eq!(seen.len(), 3, "one that may have run, and is not kept, is not sent again");
+    // In small pieces, slower than its time, and with a pause in which the server takes nothing.
+    client.send(&head("slow", 500, "Content-Length: 100000"));
+    for piece in body[..100_000].chunks(5000) {
+        std::thread::sleep(60 * MS);
+        client.send_bytes(piece);
+    }
+    assert_eq!(client.hear().expect("an answer").status(), 200);
+    assert_eq!(server.seen()[3].body, body[..100_000]);
+}
+
+/// A client that stops in the middle of a long request is told, or let go, and its server is not blamed.
+#[test]
+fn a_long_request_that_stalls_is_given_up() {
+    let (server, registry) = one(|_| Say::This(answer(200, "", "got it")));
+    let node = Node::ready(&config(registry.address));
+    let mut begun: Vec<Client> = (0..8)
+        .map(|n| {
+            let mut client = Client::to(&node);
+            client.send(&head(&format!("t{n}"), 5000, "Content-Length: 1000000"));
+            client.send_bytes(&long(70_000));
+            client
+        })
+        .collect();
+    begun.truncate(4);
+    for mut stalls in begun {
+        let heard = stalls.hear().map(|m| m.status());
+        assert!(matches!(heard, None | Some(400..=599)), "{heard:?}");
+    }
+    assert!(server.seen().is_empty(), "none came whole");
+    assert_eq!(Client::to(&node).ask(&request("look", "t3", 5000)).status(), 200, "it was not ejected");
+    assert!(!node.logged("1 ejected"));
+}
+
+/// Answers and requests of more bytes than memory holds, to and from peers that do not read.
+#[test]
+fn memory_is_bounded_by_the_limit() {
+    let (_server, registry) = one(|_| Say::This(of_length(&long(8 << 20))));
+    let mut config = config(registry.address);
+    config["limits"]["memory_mb"] = json!(32);
+    config["settings"]["Limits"]["ConnectTimeout"] = json!(10_000.0);
+    let node = Node::ready(&config);
+    let clients: Vec<Client> = (0..30)
+        .map(|n| {
+            let mut client = Client::to(&node);
+            client.send(&request("look", &format!("t{n}"), 10_000));
+            client
+        })
+        .collect();
+    for mut client in clients {
+        std::thread::sleep(20 * MS);
+        assert!(client.read(100).starts_with(b"HTTP/1.1 200"));
+    }
+    assert!(node.resident() < 24 << 10, "{} KiB", node.resident());
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -61,12 +61,32 @@
         }
     }
     let mut message = Message { head, body: Vec::new(), conn };
+    if message.header("transfer-encoding").is_some() {
+        message.body = read_chunks(from)?;
+        return Some(message);
+    }
     let length = message.header("content-length").map_or(0, |v| v.parse().expect("a length"));
     message.body = vec![0; length];
     from.read_exact(&mut message.body).ok()?;
     Some(message)
 }
 
+/// Reads a body in chunks; `None` where the connection ends before the last.
+fn read_chunks(from: &mut BufReader<TcpStream>) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut size = String::new();
+        from.read_line(&mut size).ok()?;
+        let size = usize::from_str_radix(size.trim(), 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        from.read_exact(&mut chunk).ok()?;
+        if size == 0 {
+            return Some(body);
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
 /// An answer with a body.
 pub fn answer(status: u16, headers: &str, body: &str) -> Vec<u8> {
     format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
@@ -82,6 +102,8 @@
     Last(Vec<u8>),
     /// Answers after a while.
     Later(Duration, Vec<u8>),
+    /// Writes these, each after a while, and closes if so told.
+    Pieces(Vec<(Duration, Vec<u8>)>, bool),
     /// Stays silent.
     Nothing,
 }
@@ -151,6 +173,15 @@
                 std::thread::sleep(span);
                 (bytes, false)
             }
+            Say::Pieces(pieces, last) => {
+                for (span, piece) in pieces {
+                    std::thread::sleep(span);
+                    if out.write_all(&piece).is_err() {
+                        break;
+                    }
+                }
+                (Vec::new(), last)
+            }
             Say::Nothing => (Vec::new(), false),
         };
         if out.write_all(&bytes).is_err() || last {
@@ -447,6 +478,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
     }
 
+    /// The memory that the node holds, in KiB.
+    pub fn resident(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its peak");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     pub fn running(&mut self) -> bool {
         self.child.try_wait().expect("a child").is_none()
     }
@@ -500,6 +538,25 @@
         self.out.write_all(words.as_bytes()).expect("the node reads");
     }
 
+    pub fn send_bytes(&mut self, bytes: &[u8]) {
+        self.out.write_all(bytes).expect("the node reads");
+    }
+
+    /// Some bytes of what comes next, at most so many; none where the connection has ended or broken.
+    pub fn read(&mut self, most: usize) -> Vec<u8> {
+        let mut bytes = vec![0; most];
+        let came = self.from.read(&mut bytes).unwrap_or(0);
+        bytes.truncate(came);
+        bytes
+    }
+
+    /// All that comes until the connection ends, and whether it ended in order.
+    pub fn rest(&mut self) -> (Vec<u8>, bool) {
+        let mut bytes = Vec::new();
+        let ended = self.from.read_to_end(&mut bytes).is_ok();
+        (bytes, ended)
+    }
+
     /// The next answer; `None` where the connection ends first.
     pub fn hear(&mut self) -> Option<Message> {
         read_message(&mut self.from, 0)
