Evict by the last byte that came, set descriptors aside, refuse ambiguous framing

A slow request that keeps coming was evicted after 1.1 s before strangers that had stalled for as long, as rank went by when it began; a stranger on a new connection kept its place for 200 ms. The new test fails so (broken pipe at the slow client). Descriptors: clients had a half and servers 3/8 of the limit, which at 128 left 16 for 19; 24 are set aside now. Framing: hyper drops a length beside an encoding and reads on; such requests are now a 400 and a close (12 forms in the test), and what they hide reaches no server.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -8,7 +8,9 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::header::{
+    HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -50,6 +52,8 @@
 const HEAD_MOST: usize = 32 * 1024;
 /// A connection that has just come gets this long to bring its request, before it is closed as idle.
 const FRESH: Duration = Duration::from_millis(200);
+/// How long it gets, and a request that is coming gets for its next piece, where others wait for its place.
+const PRESSED: Duration = Duration::from_millis(50);
 /// How long the log keeps quiet of the same trouble.
 const QUIET: Duration = Duration::from_secs(5);
 /// How long accepting rests when descriptors have run out.
@@ -170,16 +174,14 @@
     node: Rc<Node>,
     open: RefCell<HashMap<u64, Rc<Client>>>,
     last: Cell<u64>,
-    most: usize,
     freed: Notify,
 }
 
 impl Clients {
     /// No connections yet.
     pub fn new(node: Rc<Node>) -> Rc<Self> {
-        let most = node.config.sockets / 2;
         let (open, last, freed) = (RefCell::default(), Cell::new(0), Notify::new());
-        Rc::new(Self { node, open, last, most, freed })
+        Rc::new(Self { node, open, last, freed })
     }
 
     /// How many connections there are.
@@ -187,6 +189,11 @@
         self.open.borrow().len()
     }
 
+    /// How many there may be.
+    fn most(&self) -> usize {
+        self.node.descriptors() * 4 / 7
+    }
+
     /// Accepts connections; never ends.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let mut logged: Option<Instant> = None;
@@ -194,7 +201,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     // Room is made once it is needed, and never by a connection that has just come.
-                    while self.count() >= self.node.part(self.most) && !self.evict() {
+                    while self.count() >= self.most() && !self.evict() {
                         // One that is busy now may be idle soon, which nobody tells.
                         let _ = timeout(EXHAUSTED, self.freed.notified()).await;
                     }
@@ -239,7 +246,7 @@
 
     /// Closes idle connections until there are no more than its part, or none is idle.
     pub fn shrink(&self) {
-        while self.count() > self.node.part(self.most) && self.evict() {}
+        while self.count() > self.most() && self.evict() {}
     }
 
     /// Closes connections that are between requests and have nothing to read.
@@ -253,16 +260,18 @@
         }
     }
 
-    /// Closes the connection that has been idle for longest, or else the one whose request has been coming
+    /// Closes the connection that has been idle for longest, or else the one whose request has come no further
     /// for longest; false where all are busy.
     fn evict(&self) -> bool {
         let (number, client) = {
             let open = self.open.borrow();
             let rank = |c: &Client| match c.sock.phase() {
-                (Phase::New, since) if since.elapsed() < FRESH => None,
+                (Phase::New, since) if since.elapsed() < PRESSED => None,
                 (Phase::Ending, since) => Some((0, since)),
                 (Phase::New | Phase::Idle, since) if c.sock.quiet() => Some((0, since)),
-                (Phase::Reading | Phase::Body, since) if since.elapsed() >= READING / 2 => Some((1, since)),
+                (Phase::Reading | Phase::Body, _) if c.sock.heard().elapsed() >= PRESSED => {
+                    Some((1, c.sock.heard()))
+                }
                 _ => None,
             };
             let least = open.iter().filter_map(|(n, c)| Some((rank(c)?, *n))).min();
@@ -323,8 +332,9 @@
     let mut answer = if request.uri().path() == "/ready" {
         plain(node.readiness())
     } else {
+        let ambiguous = sock.ambiguous();
         sock.enter(Phase::Body);
-        match read(&node, request).await {
+        match read(&node, request, ambiguous).await {
             Ok((asked, remaining)) => {
                 sock.enter(Phase::Busy);
                 let coming = began.elapsed();
@@ -488,9 +498,17 @@
     value.filter(fits).ok_or(StatusCode::BAD_REQUEST.into())
 }
 
-async fn read(node: &Node, request: Request<Incoming>) -> Result<(Asked, Duration), Bad> {
+async fn read(node: &Node, request: Request<Incoming>, ambiguous: bool) -> Result<(Asked, Duration), Bad> {
     let told = &node.config.told;
     let (parts, body) = request.into_parts();
+    let mut encodings = parts.headers.get_all(TRANSFER_ENCODING).iter();
+    if let Some(encoding) = encodings.next() {
+        // Two readings of where such a request ends are one too many: it may hide another.
+        let plain = encodings.next().is_none() && encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        if ambiguous || !plain {
+            return Err(Bad { status: StatusCode::BAD_REQUEST, closes: true });
+        }
+    }
     let declared = parts.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
     // What has not been read when the answer goes out makes the connection useless.
     let unread =
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -32,6 +32,9 @@
 
 /// The part of the node's memory that bodies may have while they are held whole.
 const BODIES_SHARE: usize = 3;
+/// Descriptors that no client or server may take, where there are enough: for the standard streams, the runtime,
+/// the listeners, discovery and operators' callers.
+const ASIDE: usize = 24;
 /// How often it is looked whether the node can serve.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -220,14 +223,13 @@
         }
     }
 
-    /// This process's part of so many descriptors. While another may serve as the same node, each keeps to half.
-    pub fn part(&self, descriptors: usize) -> usize {
+    /// How many descriptors clients and servers may take together. While another process may serve as the same
+    /// node, each keeps to half.
+    pub fn descriptors(&self) -> usize {
         let young = self.clock.start.elapsed() < OVERLAP;
-        if self.config.inherited.is_some() && (young || self.closing.get()) {
-            descriptors / 2
-        } else {
-            descriptors
-        }
+        let shared = self.config.inherited.is_some() && (young || self.closing.get());
+        let own = if shared { self.config.sockets / 2 } else { self.config.sockets };
+        own - ASIDE.min(own / 4)
     }
 
     /// Can the node serve, as the status of an answer?
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -66,23 +66,26 @@
     }
 }
 
+/// How many connections there may be.
+fn most(node: &Node) -> usize {
+    node.descriptors() * 3 / 7
+}
+
 /// Connections to servers.
 pub struct Pool {
     idle: RefCell<HashMap<ServerId, Vec<Link>>>,
     held: Rc<Cell<usize>>,
-    most: usize,
     idle_most: Duration,
     connect: Duration,
 }
 
 impl Pool {
-    /// An empty pool with its part of the descriptors.
+    /// An empty pool.
     pub fn new(config: &Config) -> Self {
         let ms = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3_600_000.0) / 1000.0);
         Self {
             idle: RefCell::default(),
             held: Rc::default(),
-            most: config.sockets * 3 / 8,
             idle_most: ms(config.told.keepalive * IDLE_SHARE),
             connect: ms(config.told.settings.limits.connect_timeout),
         }
@@ -126,7 +129,7 @@
 
     /// Closes idle connections until it holds no more than its part, or none is idle.
     pub fn shrink(&self, node: &Node) {
-        while self.held.get() > node.part(self.most) && self.evict() {}
+        while self.held.get() > most(node) && self.evict() {}
     }
 
     /// Closes the connection that has been idle for longest; false where none is.
@@ -248,7 +251,7 @@
         let link = match pooled.take() {
             Some(link) => Ok(link),
             None => {
-                let connecting = node.pool.connect(dial, node.part(node.pool.most));
+                let connecting = node.pool.connect(dial, most(node));
                 timeout_at(end.into(), connecting).await.unwrap_or(Err(Outcome::NotSent))
             }
         };
--- a/src/net/sock.rs
+++ b/src/net/sock.rs
@@ -71,6 +71,39 @@
     }
 }
 
+/// Which headers on the framing of its body a request's head has brought, as they stand there: hyper drops one
+/// of two that contradict each other.
+#[derive(Default)]
+struct Framing {
+    /// The beginning of the present line.
+    line: Vec<u8>,
+    length: bool,
+    encoding: bool,
+    over: bool,
+}
+
+impl Framing {
+    const ENCODING: &[u8] = b"transfer-encoding:";
+    const LENGTH: &[u8] = b"content-length:";
+
+    fn came(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match byte {
+                _ if self.over => return,
+                b'\r' => {}
+                b'\n' => {
+                    self.over = self.line.is_empty();
+                    self.encoding |= self.line == Self::ENCODING;
+                    self.length |= self.line.starts_with(Self::LENGTH);
+                    self.line.clear();
+                }
+                byte if self.line.len() < Self::ENCODING.len() => self.line.push(byte.to_ascii_lowercase()),
+                _ => {}
+            }
+        }
+    }
+}
+
 /// What a client's connection is in the middle of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -105,8 +138,12 @@
     phase: Cell<Phase>,
     /// When the phase began; for reading the first request, when the connection came.
     since: Cell<Instant>,
-    /// When the request that is being read or served began to come.
+    /// When the request that is being read or served began to come, ...
     began: Cell<Instant>,
+    /// ... when something last came, ...
+    heard: Cell<Instant>,
+    /// ... and what its head says of its framing.
+    framing: RefCell<Framing>,
 }
 
 impl Sock {
@@ -127,6 +164,8 @@
             phase: Cell::new(Phase::New),
             since: Cell::new(now),
             began: Cell::new(now),
+            heard: Cell::new(now),
+            framing: RefCell::default(),
         }))
     }
 
@@ -197,6 +236,18 @@
         }
     }
 
+    /// When something last came.
+    pub fn heard(&self) -> Instant {
+        self.heard.get()
+    }
+
+    /// Has the head of the request that is being read both a length and an encoding? Of one that came right
+    /// behind another that can't be told, so it may have.
+    pub fn ambiguous(&self) -> bool {
+        let framing = self.framing.borrow();
+        self.phase.get() != Phase::Reading || (framing.length && framing.encoding)
+    }
+
     /// Nothing to read, and not closed by the other side. Asks the kernel, as what the runtime knows may be
     /// a turn of its loop old.
     pub fn quiet(&self) -> bool {
@@ -234,12 +285,15 @@
     fn read(&self, came: &[u8]) {
         let bytes = came.len();
         self.back.borrow_mut().took(came);
+        self.heard.set(Instant::now());
         if bytes > 0 && matches!(self.phase.get(), Phase::New | Phase::Idle) {
-            self.began.set(Instant::now());
+            self.began.set(self.heard.get());
+            self.framing.take();
             if self.phase.replace(Phase::Reading) == Phase::Idle {
                 self.since.set(self.began.get());
             }
         }
+        self.framing.borrow_mut().came(came);
     }
 
     fn took(&self, bytes: &[u8]) {
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -234,3 +234,39 @@
     }
     assert!(node.resident() < 24 << 10, "{} KiB", node.resident());
 }
+
+/// Where a request's end can be read in two ways it is refused, and nothing of it reaches a server.
+#[test]
+fn ambiguous_framing_is_refused() {
+    let (server, registry) = one(|_| Say::This(answer(200, "", "got it")));
+    let node = Node::ready(&config(registry.address));
+    let smuggled = "0\r\n\r\nGET /look/1 HTTP/1.1\r\nX-Txn: s\r\nX-Remaining-Ms: 900\r\nHost: x\r\n\r\n";
+    for framing in [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5",
+        "transfer-encoding:chunked\r\nX-Other: 1\r\nCONTENT-LENGTH:5",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+        "Content-Length: 5\r\nContent-Length: 6",
+        "Content-Length: 5, 5",
+        "Content-Length: +5",
+        "Content-Length : 5",
+    ] {
+        let mut client = Client::to(&node);
+        client.send(&(head("t1", 5000, framing) + smuggled));
+        assert_eq!(client.hear().map(|m| m.status()), Some(400), "{framing}");
+        assert!(client.gone(), "{framing}: nothing more is read from there");
+    }
+    assert!(server.seen().is_empty());
+    let mut client = Client::to(&node);
+    client.send_bytes(&chunked(
+        &head("t2", 5000, "transfer-encoding: Chunked"),
+        b"content-length: 5\r\n",
+        true,
+    ));
+    assert_eq!(client.hear().map(|m| m.status()), Some(200));
+    assert_eq!(server.seen()[0].body, b"content-length: 5\r\n");
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -465,6 +465,38 @@
     assert_eq!(next.hear().map(|m| m.status()), Some(200));
 }
 
+/// Idle and half-written connections, many times more than there is room for, cost neither a request on a new
+/// connection nor one that takes 2 s to come, but keeps coming.
+#[test]
+fn a_crowd_costs_no_request_that_keeps_coming() {
+    let server = Peer::good("a");
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let mut config = config(registry.address);
+    config["limits"]["sockets"] = json!(64);
+    let node = Node::listening(&config, Some(64));
+    node.wait_ready();
+    let words = request("slip", "slow", 900);
+    let mut slow: Vec<Client> = (0..8).map(|_| Client::to(&node)).collect();
+    let mut crowd = Vec::new();
+    for (n, piece) in words.as_bytes().chunks(words.len().div_ceil(30)).enumerate() {
+        for client in &mut slow {
+            client.send_bytes(piece);
+        }
+        for begun in ["", "GET /look/1 HT", &words[..words.len() - 2]] {
+            let mut stranger = Client::to(&node);
+            stranger.send(begun);
+            crowd.push(stranger);
+        }
+        let asked = Instant::now();
+        assert_eq!(Client::to(&node).ask(&request("look", &format!("t{n}"), 5000)).status(), 200);
+        assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+        std::thread::sleep(Duration::from_millis(60));
+    }
+    for client in &mut slow {
+        assert_eq!(client.hear().map(|m| m.status()), Some(200));
+    }
+}
+
 /// Whoever sends no whole request is let go soon; who has had an answer may stay.
 #[test]
 fn connections_without_a_request_are_closed_soon() {
