Bound what bodies on their way take, and leave half of the budget to short ones

Seen: 200 clients that read nothing of 8 MiB answers took the node to 37.7 MB of a limit of 32 (the new test): a body that was passed on gave its part of the budget back, though it holds a piece and the buffers of two connections. It keeps 128 KiB of the budget now, waits for them up to 2 s, and leaves half of the budget to short bodies; requests leave a quarter, since each held one needs room for its answer. 26 MB after.

--- a/src/net/bodies.rs
+++ b/src/net/bodies.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, Sleep};
+use tokio::time::{sleep_until, timeout, Sleep};
 
 use super::metrics::{End, Taken};
 
@@ -34,6 +34,8 @@
     Slow,
     /// It is longer than it may be.
     Long,
+    /// There was no room to pass it on.
+    NoRoom,
     /// Its connection broke, or it can't be read.
     Broken(hyper::Error),
 }
@@ -43,6 +45,7 @@
         match self {
             Self::Slow => write!(f, "came too slowly"),
             Self::Long => write!(f, "longer than it may be"),
+            Self::NoRoom => write!(f, "no room to pass it on"),
             Self::Broken(error) => write!(f, "{error}"),
         }
     }
@@ -111,9 +114,15 @@
     }
 }
 
-/// The bytes that may be held at a time, of all bodies together.
+/// The bytes that all bodies together may take.
 #[derive(Clone)]
-pub struct Budget(Rc<Cell<usize>>);
+pub struct Budget(Rc<Room>);
+
+struct Room {
+    all: usize,
+    left: Cell<usize>,
+    freed: Notify,
+}
 
 /// A part of the budget, until it is dropped.
 pub struct Held {
@@ -124,22 +133,40 @@
 impl Budget {
     /// So many bytes.
     pub fn new(bytes: usize) -> Self {
-        Self(Rc::new(Cell::new(bytes)))
+        Self(Rc::new(Room { all: bytes, left: Cell::new(bytes), freed: Notify::new() }))
     }
 
-    /// Takes so many bytes; `None` where fewer are left.
-    pub fn take(&self, bytes: usize) -> Option<Held> {
-        self.0.set(self.0.get().checked_sub(bytes)?);
+    /// Takes so many bytes, if that leaves a part of the budget, one in `spare`, to others.
+    fn take(&self, bytes: usize, spare: usize) -> Option<Held> {
+        let left = self.0.left.get().checked_sub(bytes)?;
+        if left < self.0.all.checked_div(spare).unwrap_or(0) {
+            return None;
+        }
+        self.0.left.set(left);
         Some(Held { budget: self.clone(), bytes })
     }
+
+    /// The same once there is room, if there soon is.
+    async fn wait(&self, bytes: usize, spare: usize) -> Result<Held, Cut> {
+        let room = async {
+            loop {
+                if let Some(held) = self.take(bytes, spare) {
+                    return held;
+                }
+                self.0.freed.notified().await;
+            }
+        };
+        timeout(ROOM_WITHIN, room).await.map_err(|_| Cut::NoRoom)
+    }
 }
 
 impl Held {
     /// Gives back what is not needed.
-    pub fn shrink(&mut self, bytes: usize) {
+    fn shrink(&mut self, bytes: usize) {
         let over = self.bytes.saturating_sub(bytes);
         self.bytes -= over;
-        self.budget.0.set(self.budget.0.get() + over);
+        self.budget.0.left.set(self.budget.0.left.get() + over);
+        self.budget.0.freed.notify_waiters();
     }
 }
 
@@ -177,7 +204,7 @@
         self.0 .0.get()
     }
 
-    /// Waits until it is no longer coming; for one caller at a time.
+    /// Waits until it is no longer coming.
     pub async fn ended(&self) -> Fate {
         while self.fate() == Fate::Coming {
             self.0 .1.notified().await;
@@ -195,6 +222,10 @@
 
 /// Longer than anything lasts here.
 const NEVER: Duration = Duration::from_secs(86_400);
+/// How long a body waits for room.
+const ROOM_WITHIN: Duration = Duration::from_secs(2);
+/// What a body that is passed on takes on its way: a piece in hand, and the buffers of two connections.
+const PASSING: usize = 128 * 1024;
 /// The largest body that is held whole.
 pub const HELD_MOST: usize = 64 * 1024;
 
@@ -220,12 +251,29 @@
     Coming(Coming),
 }
 
-/// Reads a body whole, if it is short and the budget has room for it; else up to its first bytes. One whose
-/// length was not said is read for so long after its first bytes.
-pub async fn gather(mut body: Paced, budget: &Budget, hold: Duration) -> Result<Gathered, Cut> {
+/// Whose body it is that is read.
+#[derive(Clone, Copy)]
+pub enum Side {
+    /// A request's: it leaves room for answers, as its own answer needs some while it is held.
+    Request,
+    /// An answer's, which is held for so long after its first bytes where its length was not said.
+    Answer(Duration),
+}
+
+/// Reads a body whole, if it is short and the budget has room for it; else up to its first bytes. Long ones leave
+/// half of the budget to short ones.
+pub async fn gather(mut body: Paced, budget: &Budget, side: Side) -> Result<Gathered, Cut> {
     let said = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
-    let most = said.unwrap_or(HELD_MOST);
-    let mut held = if most > HELD_MOST { None } else { budget.take(most) };
+    let (spare, hold) = match side {
+        Side::Request => (4, NEVER),
+        Side::Answer(hold) => (0, hold),
+    };
+    let mut held = match said {
+        Some(length) if length > HELD_MOST => Some(budget.wait(PASSING, 2).await?),
+        Some(length) => budget.take(length, spare),
+        None => budget.take(PASSING, spare),
+    };
+    let most = if said.is_some_and(|length| length > HELD_MOST) || held.is_none() { 0 } else { HELD_MOST };
     let mut bytes = BytesMut::new();
     let mut over = pin!(tokio::time::sleep(NEVER));
     loop {
@@ -245,11 +293,11 @@
             over.as_mut().reset((Instant::now() + hold).into());
         }
         bytes.extend_from_slice(&data);
-        if bytes.len() > HELD_MOST || held.is_none() {
+        if bytes.len() > most {
             break;
         }
     }
-    Ok(Gathered::Coming(Coming::new(bytes.freeze(), body)))
+    Ok(Gathered::Coming(Coming::new(bytes.freeze(), body, held)))
 }
 
 /// A body that goes out: held whole, or passed on as it comes.
@@ -268,12 +316,15 @@
     passage: Passage,
     /// The request that ends with it.
     taken: Option<Taken>,
+    /// Its part of the budget; a short one that found no room goes without.
+    _held: Option<Held>,
 }
 
 impl Coming {
     /// A body of which `first` has been read.
-    pub fn new(first: Bytes, rest: Paced) -> Self {
-        Self { first: Some(first).filter(|f| !f.is_empty()), rest, passage: Passage::new(), taken: None }
+    fn new(first: Bytes, rest: Paced, held: Option<Held>) -> Self {
+        let first = Some(first).filter(|f| !f.is_empty());
+        Self { first, rest, passage: Passage::new(), taken: None, _held: held }
     }
 
     /// Where its fate can be seen.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout;
 use tulipmount::{Effect, Millis, RequestId};
 
-use super::bodies::{gather, Coming, Cut, Fate, Gathered, Kept, Outgoing, Pace, Paced, Passage};
+use super::bodies::{gather, Coming, Cut, Fate, Gathered, Kept, Outgoing, Pace, Paced, Passage, Side};
 use super::log;
 use super::metrics::{End, Taken};
 use super::node::{Answer, Node, Reply};
@@ -526,10 +526,11 @@
         uri = uri.path_and_query(path.clone());
     }
     let uri = uri.build().map_err(|_| unread(StatusCode::BAD_REQUEST))?;
-    let body = match gather(Paced::new(body, SENDING), &node.budget, SENDING.wait).await {
+    let body = match gather(Paced::new(body, SENDING), &node.budget, Side::Request).await {
         Ok(body) => body.into(),
         Err(Cut::Slow) => return Err(Bad { status: StatusCode::REQUEST_TIMEOUT, closes: true }),
         Err(Cut::Long) => return Err(Bad { status: StatusCode::PAYLOAD_TOO_LARGE, closes: true }),
+        Err(Cut::NoRoom) => return Err(Bad { status: StatusCode::SERVICE_UNAVAILABLE, closes: true }),
         Err(Cut::Broken(_)) => return Err(Bad { status: StatusCode::BAD_REQUEST, closes: true }),
     };
     let mut headers = end_to_end(&parts.headers);
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -30,8 +30,6 @@
 /// to end within 6 s, once this one is ready, and is killed 3.7 s later at the latest.
 const OVERLAP: Duration = Duration::from_secs(10);
 
-/// The part of the node's memory that bodies may have while they are held whole.
-const BODIES_SHARE: usize = 3;
 /// Descriptors that no client or server may take, where there are enough: for the standard streams, the runtime,
 /// the listeners, discovery and operators' callers.
 const ASIDE: usize = 24;
@@ -124,7 +122,7 @@
     pub config: Config,
     /// Its connections to servers.
     pub pool: Pool,
-    /// The bytes of bodies that it may hold.
+    /// The bytes that bodies may take: two thirds of the memory; the rest is for connections and all else.
     pub budget: Budget,
     /// What it counts.
     pub metrics: Rc<Metrics>,
@@ -171,7 +169,7 @@
         };
         let node = Rc::new(Self {
             pool: Pool::new(&config),
-            budget: Budget::new(config.memory / BODIES_SHARE),
+            budget: Budget::new(config.memory / 3 * 2),
             metrics: Metrics::new(config.told.classes.len()),
             discovery: Cell::new(config.discovery),
             config,
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -20,7 +20,7 @@
 use tokio::time::{timeout, timeout_at};
 use tulipmount::{Outcome, RequestId, ServerId};
 
-use super::bodies::{gather, Cut, Fate, Gathered, Outgoing, Pace, Paced, Passage};
+use super::bodies::{gather, Cut, Fate, Gathered, Outgoing, Pace, Paced, Passage, Side};
 use super::clients::{end_to_end, Asked};
 use super::config::Config;
 use super::log;
@@ -404,7 +404,7 @@
     fn from(cut: Cut) -> Self {
         match cut {
             Cut::Broken(error) => error.into(),
-            Cut::Slow | Cut::Long => Self::Garbled,
+            Cut::Slow | Cut::Long | Cut::NoRoom => Self::Garbled,
         }
     }
 }
@@ -423,7 +423,7 @@
         let answer = send.send_request(request).await?;
         let (parts, body) = answer.into_parts();
         let length = body.size_hint().exact();
-        let body = gather(Paced::new(body, ANSWERING), &node.budget, hold).await?;
+        let body = gather(Paced::new(body, ANSWERING), &node.budget, Side::Answer(hold)).await?;
         Ok::<_, Broken>((parts, length, body))
     };
     let (parts, length, body) = drive(conn, talk).await?;
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -351,6 +351,14 @@
             "Me": 0, "PeersTotal": 1, "Tick": 5.0, "Weights": "nominal", "MyZone": "a", "Zones": ["a"]}})
 }
 
+/// A configuration with a second address.
+pub fn operated(registry: &Registry) -> Value {
+    let mut config = config(registry.address);
+    config["admin_addr"] = json!("127.0.0.1:0");
+    config["settings"]["Contract"]["WarmWithin"] = json!(1000.0);
+    config
+}
+
 pub struct Node {
     child: Child,
     /// Its configuration file.
@@ -502,6 +510,15 @@
     }
 }
 
+/// One of the figures that the node reports.
+pub fn figure(node: &Node, name: &str) -> u64 {
+    let (status, text) = node.call("GET /metrics");
+    assert_eq!(status, 200);
+    let line =
+        |l: &str| l.strip_prefix("edge_balancer.")?.strip_prefix(name)?.strip_prefix('=')?.parse().ok();
+    text.lines().find_map(line).unwrap_or_else(|| panic!("{name} is not in {text}"))
+}
+
 // ---- Clients ----
 
 /// A request of a class as a client would send it.
