--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -200,6 +200,19 @@
     assert!(sent[3] >= 5 && sent[3] * 4 < sent[0], "{sent:?}");
 }
 
+/// A node that has just started, as a successor has, knows its pace by what it has seen, not by a time of which it
+/// has seen nothing: while most servers are cold it would hold what they could serve.
+#[test]
+fn a_node_that_has_just_started_gives_a_cold_server_its_part() {
+    let mut node = Node::fleet(settings(), 4);
+    for _ in 0..20 {
+        node.serve(SAFE, 5.0);
+    }
+    node.event(Event::ListChange(vec![Entry { started: Some(node.now), ..entry(3, 1.0) }]));
+    let sent = (0..60).filter(|_| node.serve(SAFE, 5.0) == Some(ServerId(3))).count();
+    assert!((3..=8).contains(&sent), "50 a second at a server, 15% of it, times 1.5, in 0.3 s: not {sent}");
+}
+
 #[test]
 fn a_cold_server_alone_is_not_pushed_over() {
     let mut node = Node::fleet(settings(), 2);
