Leave ejected servers out of the pace for cold ones, and take back the pace of a young node

Seen, in the same state lines: with one of two warm servers ejected, the five cold ones got half of their part. Lines: \`learn\` in src/balance.rs divided what warm servers answer by the size of all warm ones, ejected ones among them, which answer nothing. The server that answers is always counted, else its pace would be boundless where all are ejected (the property test found that in the first form of this).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -61,8 +61,6 @@
 
 /// Over which time it is counted who is served how well.
 const MEMORY: Millis = 60_000.0;
-/// The part of a span that a rate is told from at the least.
-const SEEN_LEAST: f64 = 0.125;
 /// How far above the worst served part a class or tenant still counts nearly as the worst.
 const NEAR_WORST: f64 = 0.05;
 
@@ -205,8 +203,6 @@
 struct Rate {
     per_s: f64,
     at: Millis,
-    /// When the first was counted.
-    since: Millis,
 }
 
 /// Worth asked for and served.
@@ -238,20 +234,12 @@
 
 impl Rate {
     fn new() -> Self {
-        Self { per_s: 0.0, at: 0.0, since: f64::INFINITY }
+        Self { per_s: 0.0, at: 0.0 }
     }
 
     fn add(&mut self, now: Millis, span: Millis, amount: f64) {
         self.per_s = self.at(now, span) + amount * 1000.0 / span.max(1.0);
         self.at = now;
-        self.since = self.since.min(now);
-    }
-
-    /// The rate at the last count by the time that was seen, a part of the span at least: until a span has
-    /// passed, what came before the first count would pass for a time without any.
-    fn so_far(&self, span: Millis) -> f64 {
-        let seen = ((self.at - self.since) / span.max(1.0)).max(SEEN_LEAST);
-        self.per_s / (1.0 - (-seen).exp())
     }
 
     fn at(&self, now: Millis, span: Millis) -> f64 {
@@ -751,8 +739,7 @@
             return true;
         }
         let part = SLOW_START_CAUTION * rules.fall_multiple * warmth;
-        let seen = if self.pace.per_s > 0.0 { &self.pace } else { &self.arrivals };
-        let pace = seen.so_far(rules.fall_window);
+        let pace = if self.pace.per_s > 0.0 { self.pace.per_s } else { self.arrivals.per_s };
         let space = 1000.0 / (part * pace * server.size);
         self.now - server.last_sent >= space * server.stagger
     }
@@ -1054,7 +1041,9 @@
         let warm = |s: &Server| s.warmth(now, rules) >= 1.0;
         if done && self.servers.get(&id).is_some_and(warm) {
             // Measured on warm servers alone: measured on cold ones too, a cold budget would feed on itself.
-            let size: f64 = self.rotated().filter(|s| warm(s)).map(|s| s.size).sum();
+            // An ejected one answers nothing, which says nothing of what a warm one does.
+            let counts = |s: &&Server| warm(s) && (s.ejected.is_none() || s.entry.server == id);
+            let size: f64 = self.rotated().filter(counts).map(|s| s.size).sum();
             self.pace.add(now, rules.fall_window, 1.0 / size.max(f64::MIN_POSITIVE));
         }
         let count = self.set.classes.len();
