--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1041,9 +1041,7 @@
         let warm = |s: &Server| s.warmth(now, rules) >= 1.0;
         if done && self.servers.get(&id).is_some_and(warm) {
             // Measured on warm servers alone: measured on cold ones too, a cold budget would feed on itself.
-            // An ejected one answers nothing, which says nothing of what a warm one does.
-            let counts = |s: &&Server| warm(s) && (s.ejected.is_none() || s.entry.server == id);
-            let size: f64 = self.rotated().filter(counts).map(|s| s.size).sum();
+            let size: f64 = self.rotated().filter(|s| warm(s)).map(|s| s.size).sum();
             self.pace.add(now, rules.fall_window, 1.0 / size.max(f64::MIN_POSITIVE));
         }
         let count = self.set.classes.len();
