Leave half of the memory for bodies to the other process during an upgrade

Half of it is set aside for the first 10 s and from SIGTERM on, also where bodies have more than the other half then.

--- a/src/main.rs
+++ b/src/main.rs
@@ -127,6 +127,7 @@
         tokio::time::sleep(SWEEP).await;
         log::refill();
         log::line(format!("{} clients, {}", clients.count(), node.status()));
+        node.share_memory();
         node.pool.sweep();
         clients.sweep();
     }
@@ -144,6 +145,7 @@
         // New connections are the successor's, and what they need of the descriptors too. Clients go over to it
         // with the answers that close; an idle connection that is closed may cross a request.
         drop(listener);
+        node.share_memory();
         node.pool.shrink(node);
         clients.shrink();
         close_idle = kill - CLOSE_BEFORE;
--- a/src/net/bodies.rs
+++ b/src/net/bodies.rs
@@ -120,7 +120,8 @@
 
 struct Room {
     all: usize,
-    left: Cell<usize>,
+    /// Below 0 where more is taken than was left when a part was set aside.
+    left: Cell<isize>,
     freed: Notify,
 }
 
@@ -133,13 +134,20 @@
 impl Budget {
     /// So many bytes.
     pub fn new(bytes: usize) -> Self {
-        Self(Rc::new(Room { all: bytes, left: Cell::new(bytes), freed: Notify::new() }))
+        Self(Rc::new(Room { all: bytes, left: Cell::new(bytes as isize), freed: Notify::new() }))
+    }
+
+    /// Leaves half of it to others until this is dropped, also where bodies have more than the other half now.
+    pub fn halve(&self) -> Held {
+        let bytes = self.0.all / 2;
+        self.0.left.set(self.0.left.get() - bytes as isize);
+        Held { budget: self.clone(), bytes }
     }
 
     /// Takes so many bytes, if that leaves a part of the budget, one in `spare`, to others.
     fn take(&self, bytes: usize, spare: usize) -> Option<Held> {
-        let left = self.0.left.get().checked_sub(bytes)?;
-        if left < self.0.all.checked_div(spare).unwrap_or(0) {
+        let left = self.0.left.get() - bytes as isize;
+        if left < self.0.all.checked_div(spare).unwrap_or(0) as isize {
             return None;
         }
         self.0.left.set(left);
@@ -165,7 +173,7 @@
     fn shrink(&mut self, bytes: usize) {
         let over = self.bytes.saturating_sub(bytes);
         self.bytes -= over;
-        self.budget.0.left.set(self.budget.0.left.get() + over);
+        self.budget.0.left.set(self.budget.0.left.get() + over as isize);
         self.budget.0.freed.notify_waiters();
     }
 }
@@ -412,3 +420,37 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Half of the budget stays with the other process, also where more is taken when that one comes.
+    #[test]
+    fn half_of_the_budget_can_be_left_to_others() {
+        let budget = Budget::new(1000);
+        let most = budget.take(900, 0).expect("room");
+        let half = budget.halve();
+        assert!(budget.take(1, 0).is_none());
+        drop(most);
+        let rest = budget.take(400, 0).expect("half of it");
+        assert!(budget.take(101, 0).is_none());
+        drop(half);
+        assert!(budget.take(600, 0).is_some());
+        assert!(budget.take(101, 2).is_none() && budget.take(100, 2).is_some(), "a half is spared");
+        drop(rest);
+    }
+
+    /// Whoever waits for room is given it as soon as there is some, and told where there is none for long.
+    #[test]
+    fn room_is_waited_for() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let budget = Budget::new(1000);
+            let held = budget.take(800, 0).expect("room");
+            assert!(matches!(budget.wait(300, 0).await, Err(Cut::NoRoom)));
+            let (got, ()) = tokio::join!(budget.wait(300, 0), async move { drop(held) });
+            assert!(got.is_ok());
+        });
+    }
+}
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -16,7 +16,7 @@
 };
 
 use super::bans::{Bans, Change};
-use super::bodies::{Budget, Gathered};
+use super::bodies::{Budget, Gathered, Held};
 use super::clients::Asked;
 use super::config::Config;
 use super::discovery::{self, Update};
@@ -124,6 +124,8 @@
     pub pool: Pool,
     /// The bytes that bodies may take: two thirds of the memory; the rest is for connections and all else.
     pub budget: Budget,
+    /// What of them is the other process's.
+    half: RefCell<Option<Held>>,
     /// What it counts.
     pub metrics: Rc<Metrics>,
     /// Set once the node is to end: answers then close their connections.
@@ -170,6 +172,7 @@
         let node = Rc::new(Self {
             pool: Pool::new(&config),
             budget: Budget::new(config.memory / 3 * 2),
+            half: RefCell::default(),
             metrics: Metrics::new(config.told.classes.len()),
             discovery: Cell::new(config.discovery),
             config,
@@ -182,6 +185,7 @@
         let saved = known.unwrap_or(Update { version: 0, whole: true, hosts: Vec::new() });
         node.take_list(saved, true);
         node.look_at_bans();
+        node.share_memory();
         if node.config.told.settings.discovery == Discovery::Pushed {
             node.subscribe();
         }
@@ -221,12 +225,27 @@
         }
     }
 
+    /// Leaves half of the memory for bodies to the other process while there may be one. To be called at the start
+    /// and the end, and now and then.
+    pub fn share_memory(&self) {
+        let mut half = self.half.borrow_mut();
+        if !self.is_shared() {
+            *half = None;
+        } else if half.is_none() {
+            *half = Some(self.budget.halve());
+        }
+    }
+
+    /// May another process serve as the same node now?
+    fn is_shared(&self) -> bool {
+        let young = self.clock.start.elapsed() < OVERLAP;
+        self.config.inherited.is_some() && (young || self.closing.get())
+    }
+
     /// How many descriptors clients and servers may take together. While another process may serve as the same
     /// node, each keeps to half.
     pub fn descriptors(&self) -> usize {
-        let young = self.clock.start.elapsed() < OVERLAP;
-        let shared = self.config.inherited.is_some() && (young || self.closing.get());
-        let own = if shared { self.config.sockets / 2 } else { self.config.sockets };
+        let own = if self.is_shared() { self.config.sockets / 2 } else { self.config.sockets };
         own - ASIDE.min(own / 4)
     }
 
