Refuse requests from 0.6 s after SIGTERM, and give a young process a third for clients

Idle connections end at SIGTERM now (kept until late, requests that take seconds to come were cut off at SIGKILL), those just accepted late; answers on their way go on until SIGKILL instead of ending with the process 0.15 s before.

--- a/src/main.rs
+++ b/src/main.rs
@@ -23,10 +23,9 @@
 /// SIGKILL comes no sooner than the longest deadline, which counts as 3 s at most, and this after SIGTERM.
 const KILL_AFTER: Duration = Duration::from_millis(700);
 const LONGEST: Duration = Duration::from_secs(3);
-/// How long before that the node closes what is still idle, fails what is still open, and ends at the latest.
+/// How long before that the node closes connections on which nothing has come, and fails what is still open.
 const CLOSE_BEFORE: Duration = Duration::from_millis(700);
 const FAIL_BEFORE: Duration = Duration::from_millis(300);
-const END_BEFORE: Duration = Duration::from_millis(150);
 /// How often idle connections are looked at, and a line on the node's state is logged.
 const SWEEP: Duration = Duration::from_millis(500);
 /// How often bans are looked at: well within the grace of a drain.
@@ -137,30 +136,29 @@
 /// they have for as long as it stays open.
 async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, listener: TcpListener) {
     let told = Instant::now();
-    node.closing.set(true);
+    node.closing.set(Some(told));
     let longest = Duration::try_from_secs_f64(node.config.told.longest / 1000.0).unwrap_or(LONGEST);
     let kill = told + longest.min(LONGEST) + KILL_AFTER;
-    let mut close_idle = told;
+    let mut close_new = told;
     if node.config.inherited.is_some() {
-        // New connections are the successor's, and what they need of the descriptors too. Clients go over to it
-        // with the answers that close; an idle connection that is closed may cross a request.
+        // New connections are the successor's, and what they need of the descriptors too. Idle ones end now: a
+        // request that comes on one later may take longer than there is time. On those that were just accepted
+        // one is on its way.
         drop(listener);
         node.share_memory();
         node.pool.shrink(node);
-        clients.shrink();
-        close_idle = kill - CLOSE_BEFORE;
+        close_new = kill - CLOSE_BEFORE;
     } else {
         let _ = tokio::time::timeout(ACCEPT, clients.accept(&listener)).await;
         clients.empty_backlog(&listener).await;
         drop(listener);
     }
-    while Instant::now() < kill - END_BEFORE && (clients.count() > 0 || node.open_requests() > 0) {
+    // Whoever reads slowly gets its answer until SIGKILL comes: to end before would be to lose it.
+    while clients.count() > 0 || node.open_requests() > 0 {
         if Instant::now() >= kill - FAIL_BEFORE {
             node.fail_open();
         }
-        if Instant::now() >= close_idle {
-            clients.close_idle();
-        }
+        clients.close_idle(Instant::now() >= close_new);
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -188,9 +188,15 @@
         self.open.borrow().len()
     }
 
-    /// How many there may be.
+    /// How many there may be. With another process beside this one no fewer than clients hold, which is a third of
+    /// all descriptors: it is over to this one that they come, and the other closes what is idle.
     fn most(&self) -> usize {
-        self.node.descriptors() * 4 / 7
+        let most = self.node.descriptors() * 4 / 7;
+        if self.node.is_shared() {
+            most * 3 / 4
+        } else {
+            most
+        }
     }
 
     /// Accepts connections; never ends.
@@ -243,16 +249,12 @@
         }
     }
 
-    /// Closes idle connections until there are no more than its part, or none is idle.
-    pub fn shrink(&self) {
-        while self.count() > self.most() && self.evict() {}
-    }
-
-    /// Closes connections that are between requests and have nothing to read.
-    pub fn close_idle(&self) {
+    /// Closes connections that are between requests and have nothing to read, and those on which none has come, if
+    /// `new` says so.
+    pub fn close_idle(&self, new: bool) {
         for client in self.open.borrow().values() {
             let (phase, since) = client.sock.phase();
-            let idle = matches!(phase, Phase::New | Phase::Idle);
+            let idle = phase == Phase::Idle || (new && phase == Phase::New);
             if idle && since.elapsed() >= FRESH && client.sock.quiet() {
                 client.close.notify_one();
             }
@@ -351,7 +353,7 @@
             }
         }
     };
-    if node.closing.get() {
+    if node.closing.get().is_some() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     sock.begin(if head { Length::Of(0) } else { Length::of(answer.body()) }, None);
@@ -390,7 +392,7 @@
     // A request's time counts from its last byte.
     let came = Instant::now();
     let mut taken = node.metrics.take(asked.class);
-    if !node.has_room() {
+    if !node.has_room() || node.is_late() {
         taken.end = End::Overload;
         return refusal(0.0);
     }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -30,6 +30,8 @@
 /// to end within 6 s, once this one is ready, and is killed 3.7 s later at the latest.
 const OVERLAP: Duration = Duration::from_secs(10);
 
+/// How long after SIGTERM requests are still taken: SIGKILL comes no sooner than the longest deadline and 0.7 s.
+const LATE: Duration = Duration::from_millis(600);
 /// Descriptors that no client or server may take, where there are enough: for the standard streams, the runtime,
 /// the listeners, discovery and operators' callers.
 const ASIDE: usize = 24;
@@ -128,8 +130,8 @@
     half: RefCell<Option<Held>>,
     /// What it counts.
     pub metrics: Rc<Metrics>,
-    /// Set once the node is to end: answers then close their connections.
-    pub closing: Cell<bool>,
+    /// Since when the node is to end: answers then close their connections.
+    pub closing: Cell<Option<Instant>>,
     /// Where discovery is now.
     pub discovery: Cell<SocketAddr>,
     clock: Clock,
@@ -176,7 +178,7 @@
             metrics: Metrics::new(config.told.classes.len()),
             discovery: Cell::new(config.discovery),
             config,
-            closing: Cell::new(false),
+            closing: Cell::new(None),
             clock: Clock::new(),
             informed: Cell::new(false),
             state: RefCell::new(state),
@@ -211,7 +213,7 @@
 
     /// Can the node serve? Once discovery has answered, or soon with a saved list.
     pub fn ready(&self) -> bool {
-        if self.closing.get() {
+        if self.closing.get().is_some() {
             return false;
         }
         let late = self.clock.start.elapsed() >= READY_WITHIN;
@@ -237,16 +239,19 @@
     }
 
     /// May another process serve as the same node now?
-    fn is_shared(&self) -> bool {
+    pub fn is_shared(&self) -> bool {
         let young = self.clock.start.elapsed() < OVERLAP;
-        self.config.inherited.is_some() && (young || self.closing.get())
+        self.config.inherited.is_some() && (young || self.closing.get().is_some())
     }
 
-    /// How many descriptors clients and servers may take together. While another process may serve as the same
-    /// node, each keeps to half.
+    /// How many descriptors clients and servers may take together.
     pub fn descriptors(&self) -> usize {
-        let own = if self.is_shared() { self.config.sockets / 2 } else { self.config.sockets };
-        own - ASIDE.min(own / 4)
+        self.config.sockets - ASIDE.min(self.config.sockets / 4)
+    }
+
+    /// Has the node been told to end so long ago that a request may find no time for its answer?
+    pub fn is_late(&self) -> bool {
+        self.closing.get().is_some_and(|told| told.elapsed() >= LATE)
     }
 
     /// Can the node serve, as the status of an answer?
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -75,9 +75,14 @@
     }
 }
 
-/// How many connections there may be.
+/// How many connections there may be; half as many with another process beside this one.
 fn most(node: &Node) -> usize {
-    node.descriptors() * 3 / 7
+    let most = node.descriptors() * 3 / 7;
+    if node.is_shared() {
+        most / 2
+    } else {
+        most
+    }
 }
 
 /// Connections to servers.
