Keep idle connections until late again, let answers on their way go on, share descriptors by need

Descriptors: a young process had half, 96 connections of 384, where clients hold a third, 128, and real ones were evicted. Now three quarters for its clients and half for its servers, a quarter of each for the old one, 24 aside for both.

--- a/src/main.rs
+++ b/src/main.rs
@@ -23,7 +23,7 @@
 /// SIGKILL comes no sooner than the longest deadline, which counts as 3 s at most, and this after SIGTERM.
 const KILL_AFTER: Duration = Duration::from_millis(700);
 const LONGEST: Duration = Duration::from_secs(3);
-/// How long before that the node closes connections on which nothing has come, and fails what is still open.
+/// How long before that the node closes what is still idle, and fails what is still open.
 const CLOSE_BEFORE: Duration = Duration::from_millis(700);
 const FAIL_BEFORE: Duration = Duration::from_millis(300);
 /// How often idle connections are looked at, and a line on the node's state is logged.
@@ -139,15 +139,15 @@
     node.closing.set(Some(told));
     let longest = Duration::try_from_secs_f64(node.config.told.longest / 1000.0).unwrap_or(LONGEST);
     let kill = told + longest.min(LONGEST) + KILL_AFTER;
-    let mut close_new = told;
+    let mut close_idle = told;
     if node.config.inherited.is_some() {
-        // New connections are the successor's, and what they need of the descriptors too. Idle ones end now: a
-        // request that comes on one later may take longer than there is time. On those that were just accepted
-        // one is on its way.
+        // New connections are the successor's, and what they need of the descriptors too. Clients go over to it
+        // with the answers that close; an idle connection that is closed may cross a request.
         drop(listener);
         node.share_memory();
         node.pool.shrink(node);
-        close_new = kill - CLOSE_BEFORE;
+        clients.shrink();
+        close_idle = kill - CLOSE_BEFORE;
     } else {
         let _ = tokio::time::timeout(ACCEPT, clients.accept(&listener)).await;
         clients.empty_backlog(&listener).await;
@@ -155,10 +155,13 @@
     }
     // Whoever reads slowly gets its answer until SIGKILL comes: to end before would be to lose it.
     while clients.count() > 0 || node.open_requests() > 0 {
+        if Instant::now() >= close_idle {
+            clients.close_idle();
+        }
         if Instant::now() >= kill - FAIL_BEFORE {
             node.fail_open();
+            clients.close_unanswered();
         }
-        clients.close_idle(Instant::now() >= close_new);
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -22,7 +22,7 @@
 use super::bodies::{gather, Coming, Cut, Fate, Gathered, Kept, Outgoing, Pace, Paced, Passage, Side};
 use super::log;
 use super::metrics::{End, Taken};
-use super::node::{Answer, Node, Reply};
+use super::node::{Answer, Node, Part, Reply};
 use super::servers::REMAINING;
 use super::sock::{Io, Length, Phase, Sock};
 
@@ -188,17 +188,21 @@
         self.open.borrow().len()
     }
 
-    /// How many there may be. With another process beside this one no fewer than clients hold, which is a third of
-    /// all descriptors: it is over to this one that they come, and the other closes what is idle.
+    /// How many there may be: for a new process no fewer than clients hold, which is a third of all descriptors.
     fn most(&self) -> usize {
         let most = self.node.descriptors() * 4 / 7;
-        if self.node.is_shared() {
-            most * 3 / 4
-        } else {
-            most
+        match self.node.part() {
+            Part::Whole => most,
+            Part::New => most * 3 / 4,
+            Part::Old => most / 4,
         }
     }
 
+    /// Closes idle connections until there are no more than there may be, or none is idle.
+    pub fn shrink(&self) {
+        while self.count() > self.most() && self.evict(false) {}
+    }
+
     /// Accepts connections; never ends.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let mut logged: Option<Instant> = None;
@@ -206,7 +210,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     // Room is made once it is needed, and never by a connection that has just come.
-                    while self.count() >= self.most() && !self.evict() {
+                    while self.count() >= self.most() && !self.evict(true) {
                         // One that is busy now may be idle soon, which nobody tells.
                         let _ = timeout(EXHAUSTED, self.freed.notified()).await;
                     }
@@ -219,7 +223,7 @@
                         log::line(format!("accept: {error}"));
                     }
                     if !self.node.pool.evict() {
-                        self.evict();
+                        self.evict(true);
                     }
                     tokio::time::sleep(EXHAUSTED).await;
                 }
@@ -236,41 +240,45 @@
 
     /// Closes connections on which a request's head takes too long to come, or an answer is not read.
     pub fn sweep(&self) {
-        for client in self.open.borrow().values() {
-            let (phase, since) = client.sock.phase();
-            let slow = match phase {
-                Phase::New | Phase::Reading => since.elapsed() >= READING,
-                Phase::Answering => client.sock.stalled() >= UNREAD,
-                _ => false,
-            };
-            if slow {
-                client.close.notify_one();
-            }
-        }
+        self.close(|sock, phase, since| match phase {
+            Phase::New | Phase::Reading => since.elapsed() >= READING,
+            Phase::Answering => sock.stalled() >= UNREAD,
+            _ => false,
+        });
+    }
+
+    /// Closes connections that are between requests and have nothing to read.
+    pub fn close_idle(&self) {
+        let idle = |sock: &Sock, phase, since: Instant| {
+            matches!(phase, Phase::New | Phase::Idle) && since.elapsed() >= FRESH && sock.quiet()
+        };
+        self.close(idle);
+    }
+
+    /// Closes all connections on which no answer is on its way.
+    pub fn close_unanswered(&self) {
+        self.close(|_, phase, _| !matches!(phase, Phase::Busy | Phase::Answering));
     }
 
-    /// Closes connections that are between requests and have nothing to read, and those on which none has come, if
-    /// `new` says so.
-    pub fn close_idle(&self, new: bool) {
+    fn close(&self, which: impl Fn(&Sock, Phase, Instant) -> bool) {
         for client in self.open.borrow().values() {
             let (phase, since) = client.sock.phase();
-            let idle = phase == Phase::Idle || (new && phase == Phase::New);
-            if idle && since.elapsed() >= FRESH && client.sock.quiet() {
+            if which(&client.sock, phase, since) {
                 client.close.notify_one();
             }
         }
     }
 
-    /// Closes the connection that has been idle for longest, or else the one whose request has come no further
-    /// for longest; false where all are busy.
-    fn evict(&self) -> bool {
+    /// Closes the connection that has been idle for longest, or else, if `coming` says so, the one whose request has
+    /// come no further for longest; false where there is none.
+    fn evict(&self, coming: bool) -> bool {
         let (number, client) = {
             let open = self.open.borrow();
             let rank = |c: &Client| match c.sock.phase() {
                 (Phase::New, since) if since.elapsed() < FRESH => None,
                 (Phase::Ending, since) => Some((0, since)),
                 (Phase::New | Phase::Idle, since) if c.sock.quiet() => Some((0, since)),
-                (Phase::Reading | Phase::Body, _) if c.sock.heard().elapsed() >= FRESH => {
+                (Phase::Reading | Phase::Body, _) if coming && c.sock.heard().elapsed() >= FRESH => {
                     Some((1, c.sock.heard()))
                 }
                 _ => None,
@@ -392,7 +400,7 @@
     // A request's time counts from its last byte.
     let came = Instant::now();
     let mut taken = node.metrics.take(asked.class);
-    if !node.has_room() || node.is_late() {
+    if !node.has_room() {
         taken.end = End::Overload;
         return refusal(0.0);
     }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -30,14 +30,24 @@
 /// to end within 6 s, once this one is ready, and is killed 3.7 s later at the latest.
 const OVERLAP: Duration = Duration::from_secs(10);
 
-/// How long after SIGTERM requests are still taken: SIGKILL comes no sooner than the longest deadline and 0.7 s.
-const LATE: Duration = Duration::from_millis(600);
 /// Descriptors that no client or server may take, where there are enough: for the standard streams, the runtime,
 /// the listeners, discovery and operators' callers.
 const ASIDE: usize = 24;
 /// How often it is looked whether the node can serve.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// What a process is of its node: with a listener that another one may have too, two serve as one node for a while,
+/// and what they take of its limits must add up.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// All of it.
+    Whole,
+    /// It has just started, and an older one may still be there. Clients come over to it.
+    New,
+    /// It has been told to end, and a newer one may be there.
+    Old,
+}
+
 /// The final answer of a request.
 pub enum Answer {
     /// A server's answer.
@@ -231,17 +241,24 @@
     /// and the end, and now and then.
     pub fn share_memory(&self) {
         let mut half = self.half.borrow_mut();
-        if !self.is_shared() {
+        if self.part() == Part::Whole {
             *half = None;
         } else if half.is_none() {
             *half = Some(self.budget.halve());
         }
     }
 
-    /// May another process serve as the same node now?
-    pub fn is_shared(&self) -> bool {
-        let young = self.clock.start.elapsed() < OVERLAP;
-        self.config.inherited.is_some() && (young || self.closing.get().is_some())
+    /// Which part of the node this process is now.
+    pub fn part(&self) -> Part {
+        if self.config.inherited.is_none() {
+            Part::Whole
+        } else if self.closing.get().is_some() {
+            Part::Old
+        } else if self.clock.start.elapsed() < OVERLAP {
+            Part::New
+        } else {
+            Part::Whole
+        }
     }
 
     /// How many descriptors clients and servers may take together.
@@ -249,11 +266,6 @@
         self.config.sockets - ASIDE.min(self.config.sockets / 4)
     }
 
-    /// Has the node been told to end so long ago that a request may find no time for its answer?
-    pub fn is_late(&self) -> bool {
-        self.closing.get().is_some_and(|told| told.elapsed() >= LATE)
-    }
-
     /// Can the node serve, as the status of an answer?
     pub fn readiness(&self) -> StatusCode {
         if self.ready() {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -24,7 +24,7 @@
 use super::clients::{end_to_end, Asked};
 use super::config::Config;
 use super::log;
-use super::node::{Node, Reply};
+use super::node::{Node, Part, Reply};
 use super::sock::{Io, Length, Sock};
 
 /// How slowly the body of an answer may come: whoever sends nothing for so long is taken for dead.
@@ -75,13 +75,13 @@
     }
 }
 
-/// How many connections there may be; half as many with another process beside this one.
+/// How many connections there may be.
 fn most(node: &Node) -> usize {
     let most = node.descriptors() * 3 / 7;
-    if node.is_shared() {
-        most / 2
-    } else {
-        most
+    match node.part() {
+        Part::Whole => most,
+        Part::New => most / 2,
+        Part::Old => most / 4,
     }
 }
 
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -206,6 +206,26 @@
     assert_eq!(waits.hear().expect("an answer").status(), 200);
 }
 
+/// An answer that is on its way at SIGTERM goes on for as long as the process is let live.
+#[test]
+fn an_answer_on_its_way_is_not_cut_off_by_the_end() {
+    let pieces = |_: &Message| {
+        let start = answer(200, "", &"x".repeat(200_000));
+        let pieces = start.chunks(50_100).map(|piece| (Duration::from_millis(700), piece.to_vec())).collect();
+        Say::Pieces(pieces, true)
+    };
+    let registry = Registry::new(&[host("s0", Peer::new(pieces).address, "active", 1)]);
+    let mut node = Node::inheriting(&replaced(&registry), &platform(), &[]);
+    call_ready(&node);
+    let mut client = Client::to(&node);
+    client.send(&request("look", "t1", 10_000));
+    assert!(client.read(15).starts_with(b"HTTP/1.1 200 OK"));
+    node.terminate();
+    let (rest, in_order) = client.rest();
+    assert!(rest.len() >= 200_000 && in_order, "{}", rest.len());
+    assert_eq!(node.exit_code(), Some(0));
+}
+
 /// A process that can't serve yet takes no connection, so its end costs none.
 #[test]
 fn a_process_that_dies_before_its_yes_costs_nothing() {
