--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -16,7 +16,7 @@
 };
 
 use super::bans::{Bans, Change};
-use super::bodies::{Budget, Gathered, Held};
+use super::bodies::{Budget, Gathered};
 use super::clients::Asked;
 use super::config::Config;
 use super::discovery::{self, Update};
@@ -136,8 +136,6 @@
     pub pool: Pool,
     /// The bytes that bodies may take: two thirds of the memory; the rest is for connections and all else.
     pub budget: Budget,
-    /// What of them is the other process's.
-    half: RefCell<Option<Held>>,
     /// What it counts.
     pub metrics: Rc<Metrics>,
     /// Since when the node is to end: answers then close their connections.
@@ -184,7 +182,6 @@
         let node = Rc::new(Self {
             pool: Pool::new(&config),
             budget: Budget::new(config.memory / 3 * 2),
-            half: RefCell::default(),
             metrics: Metrics::new(config.told.classes.len()),
             discovery: Cell::new(config.discovery),
             config,
@@ -240,12 +237,7 @@
     /// Leaves half of the memory for bodies to the other process while there may be one. To be called at the start
     /// and the end, and now and then.
     pub fn share_memory(&self) {
-        let mut half = self.half.borrow_mut();
-        if self.part() == Part::Whole {
-            *half = None;
-        } else if half.is_none() {
-            *half = Some(self.budget.halve());
-        }
+        self.budget.share(self.part() != Part::Whole);
     }
 
     /// Which part of the node this process is now.
