--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -157,6 +157,33 @@
     assert_eq!(server.seen().len(), 4, "none was asked for again");
 }
 
+/// A long answer counts once, when it has ended: as served where all of it went out, else as failed. Until then its
+/// request is in progress.
+#[test]
+fn a_long_answer_counts_by_its_end() {
+    let body = long(300_000);
+    let (_server, registry) = one(move |m| match m.header("x-txn") {
+        Some("breaks") => Say::Last(of_length(&body)[..200_000].to_vec()),
+        Some("waits") => Say::Pieces(vec![(Duration::ZERO, of_length(&body)[..200_000].to_vec())], false),
+        _ => Say::This(of_length(&body)),
+    });
+    let node = Node::ready(&operated(&registry));
+    assert_eq!(Client::to(&node).ask(&request("look", "whole", 5000)).status(), 200);
+    until("it is served", || figure(&node, "replies.look.success") == 1);
+    let mut client = Client::to(&node);
+    client.send(&request("look", "breaks", 5000));
+    assert!(client.rest().0.len() < 300_000);
+    until("it has failed", || figure(&node, "replies.look.error") == 1);
+    let mut client = Client::to(&node);
+    client.send(&request("look", "waits", 5000));
+    assert!(client.read(15).starts_with(b"HTTP/1.1 200"));
+    assert_eq!((figure(&node, "concurrent"), figure(&node, "dispatches")), (1, 3));
+    drop(client);
+    until("it was left", || figure(&node, "concurrent") == 0);
+    assert_eq!(figure(&node, "replies.look.success"), 1);
+    assert_eq!(figure(&node, "replies.look.error"), 2);
+}
+
 /// In every framing a long request comes through unchanged, and is sent once.
 #[test]
 fn long_requests_pass_unchanged() {
