--- a/src/net/bodies.rs
+++ b/src/net/bodies.rs
@@ -62,14 +62,14 @@
     waited: Duration,
     since: Option<Instant>,
     came: usize,
-    late: Pin<Box<Sleep>>,
+    /// Made once it is first waited for: most bodies come at once, or are empty.
+    late: Option<Pin<Box<Sleep>>>,
 }
 
 impl Paced {
     /// Nothing has come yet, and nothing was asked for.
     pub fn new(body: Incoming, pace: Pace) -> Self {
-        let late = Box::pin(sleep_until(Instant::now().into()));
-        Self { body, pace, waited: Duration::ZERO, since: None, came: 0, late }
+        Self { body, pace, waited: Duration::ZERO, since: None, came: 0, late: None }
     }
 }
 
@@ -82,14 +82,15 @@
         let frame = match Pin::new(&mut this.body).poll_frame(cx) {
             Poll::Ready(frame) => frame,
             Poll::Pending => {
+                let late = this.late.get_or_insert_with(|| Box::pin(sleep_until(Instant::now().into())));
                 if this.since.is_none() {
                     let now = Instant::now();
                     let kib = u32::try_from(this.came / 1024).unwrap_or(u32::MAX);
                     let allowed = this.pace.wait + this.pace.per_kib * kib;
                     this.since = Some(now);
-                    this.late.as_mut().reset((now + allowed.saturating_sub(this.waited)).into());
+                    late.as_mut().reset((now + allowed.saturating_sub(this.waited)).into());
                 }
-                ready!(this.late.as_mut().poll(cx));
+                ready!(late.as_mut().poll(cx));
                 return Poll::Ready(Some(Err(Cut::Slow)));
             }
         };
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -22,7 +22,7 @@
 use super::bodies::{gather, Coming, Cut, Fate, Gathered, Kept, Outgoing, Pace, Paced, Passage, Side};
 use super::log;
 use super::metrics::{End, Taken};
-use super::node::{Answer, Node, Part, Reply};
+use super::node::{Answer, Node, Reply};
 use super::servers::REMAINING;
 use super::sock::{Io, Length, Phase, Sock};
 
@@ -188,19 +188,9 @@
         self.open.borrow().len()
     }
 
-    /// How many there may be: for a new process no fewer than clients hold, which is a third of all descriptors.
-    fn most(&self) -> usize {
-        let most = self.node.descriptors() * 4 / 7;
-        match self.node.part() {
-            Part::Whole => most,
-            Part::New => most * 3 / 4,
-            Part::Old => most / 4,
-        }
-    }
-
     /// Closes idle connections until there are no more than there may be, or none is idle.
     pub fn shrink(&self) {
-        while self.count() > self.most() && self.evict(false) {}
+        while self.count() > self.node.client_connections() && self.evict(false) {}
     }
 
     /// Accepts connections; never ends.
@@ -210,7 +200,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     // Room is made once it is needed, and never by a connection that has just come.
-                    while self.count() >= self.most() && !self.evict(true) {
+                    while self.count() >= self.node.client_connections() && !self.evict(true) {
                         // One that is busy now may be idle soon, which nobody tells.
                         let _ = timeout(EXHAUSTED, self.freed.notified()).await;
                     }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -39,7 +39,7 @@
 /// What a process is of its node: with a listener that another one may have too, two serve as one node for a while,
 /// and what they take of its limits must add up.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Part {
+enum Part {
     /// All of it.
     Whole,
     /// It has just started, and an older one may still be there. Clients come over to it.
@@ -128,6 +128,13 @@
     call: Option<AbortHandle>,
 }
 
+impl State {
+    /// Is a server of that name in the list?
+    fn lists(&self, name: &str) -> bool {
+        self.hosts.get(&ServerId(number_of(name))).is_some_and(|h| h.name == name)
+    }
+}
+
 /// One node.
 pub struct Node {
     /// Its configuration.
@@ -241,7 +248,7 @@
     }
 
     /// Which part of the node this process is now.
-    pub fn part(&self) -> Part {
+    fn part(&self) -> Part {
         if self.config.inherited.is_none() {
             Part::Whole
         } else if self.closing.get().is_some() {
@@ -254,10 +261,31 @@
     }
 
     /// How many descriptors clients and servers may take together.
-    pub fn descriptors(&self) -> usize {
+    fn descriptors(&self) -> usize {
         self.config.sockets - ASIDE.min(self.config.sockets / 4)
     }
 
+    /// How many connections clients may have: at a new process no fewer than they hold, which is a third of all
+    /// descriptors. What a new and an old process may have together, to servers as well, is no more than the whole.
+    pub fn client_connections(&self) -> usize {
+        let most = self.descriptors() * 4 / 7;
+        match self.part() {
+            Part::Whole => most,
+            Part::New => most * 3 / 4,
+            Part::Old => most / 4,
+        }
+    }
+
+    /// How many connections there may be to servers.
+    pub fn server_connections(&self) -> usize {
+        let most = self.descriptors() * 3 / 7;
+        match self.part() {
+            Part::Whole => most,
+            Part::New => most / 2,
+            Part::Old => most / 4,
+        }
+    }
+
     /// Can the node serve, as the status of an answer?
     pub fn readiness(&self) -> StatusCode {
         if self.ready() {
@@ -584,8 +612,7 @@
         let server = ServerId(number_of(name));
         {
             let mut state = self.state.borrow_mut();
-            let listed = state.hosts.get(&server).is_some_and(|h| h.name == name);
-            if !listed && !state.bans.hold(name) {
+            if !state.lists(name) && !state.bans.hold(name) {
                 return false;
             }
             state.bans.take_out(name);
@@ -603,8 +630,7 @@
         let server = ServerId(number_of(name));
         let (listed, was_out) = {
             let mut state = self.state.borrow_mut();
-            let listed = state.hosts.get(&server).is_some_and(|h| h.name == name);
-            (listed, state.bans.give_back(name)?)
+            (state.lists(name), state.bans.give_back(name)?)
         };
         if was_out {
             self.back(name, server, SystemTime::now());
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -24,7 +24,7 @@
 use super::clients::{end_to_end, Asked};
 use super::config::Config;
 use super::log;
-use super::node::{Node, Part, Reply};
+use super::node::{Node, Reply};
 use super::sock::{Io, Length, Sock};
 
 /// How slowly the body of an answer may come: whoever sends nothing for so long is taken for dead.
@@ -75,16 +75,6 @@
     }
 }
 
-/// How many connections there may be.
-fn most(node: &Node) -> usize {
-    let most = node.descriptors() * 3 / 7;
-    match node.part() {
-        Part::Whole => most,
-        Part::New => most / 2,
-        Part::Old => most / 4,
-    }
-}
-
 /// Connections to servers.
 pub struct Pool {
     idle: RefCell<HashMap<ServerId, Vec<Link>>>,
@@ -144,7 +134,7 @@
 
     /// Closes idle connections until it holds no more than its part, or none is idle.
     pub fn shrink(&self, node: &Node) {
-        while self.held() > most(node) && self.evict() {}
+        while self.held() > node.server_connections() && self.evict() {}
     }
 
     /// Closes the connection that has been idle for longest; false where none is.
@@ -270,7 +260,7 @@
         let link = match pooled.take() {
             Some(link) => Ok(link),
             None => {
-                let connecting = node.pool.connect(dial, most(node));
+                let connecting = node.pool.connect(dial, node.server_connections());
                 timeout_at(end.into(), connecting).await.unwrap_or(Err(Outcome::NotSent))
             }
         };
--- a/src/net/sock.rs
+++ b/src/net/sock.rs
@@ -171,7 +171,7 @@
 
     /// A message with so long a body is about to be written; `written` counts it once it is.
     pub fn begin(&self, length: Length, written: Option<Rc<Cell<u64>>>) {
-        if matches!(length, Length::Chunks(_)) || matches!(length, Length::Of(n) if n > HELD_MOST as u64) {
+        if !matches!(length, Length::Of(n) if n <= HELD_MOST as u64) {
             self.narrow();
         }
         self.written.replace(written);
@@ -299,12 +299,13 @@
     fn took(&self, bytes: &[u8]) {
         self.out.borrow_mut().took(bytes);
         self.moved.set(Instant::now());
-        if self.whole() {
-            if let Some(count) = self.written.take() {
-                count.set(count.get() + 1);
-            }
+        if !self.whole() {
+            return;
+        }
+        if let Some(count) = self.written.take() {
+            count.set(count.get() + 1);
         }
-        if self.phase.get() == Phase::Answering && self.whole() {
+        if self.phase.get() == Phase::Answering {
             self.enter(Phase::Idle);
         }
     }
