Take the discovery protocol's types into a crate of their own

Need: the fleet lab and the list service to come must write what the node reads, from one definition. Shape: a workspace whose root stays the node; crates/endpoints holds the line's types, the check that a server that is not gone has an address, and the cutting into lines, with errors as a type. The calls stay in src/net/discovery.rs, as they ride on the node's own sockets. Rejected: a copy of the types in the lab, which would drift, and the whole client in the crate now, which has no second user yet.

--- /dev/null
+++ b/crates/endpoints/src/lib.rs
@@ -0,0 +1,206 @@
+//! The discovery protocol's types: what a line of the list or of a watch holds, and how a stream is cut into lines.
+//!
+//! Both ends use them: the node reads, the lab's discovery (and the list service to come) writes. Field names on the
+//! wire are the platform's; unknown fields are ignored. Left out: the calls themselves, as the node's ride on its
+//! own sockets and a service's on a server's.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// The longest line that is taken, in bytes.
+pub const LINE_MOST: usize = 4 << 20;
+
+/// One line of discovery.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Update {
+    /// The list's version.
+    #[serde(rename = "seq")]
+    pub version: u64,
+    /// The whole list, not just changes.
+    pub whole: bool,
+    /// The entries.
+    pub hosts: Vec<Host>,
+}
+
+/// One server of a line.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Host {
+    /// Its name, the same at every node.
+    pub host: String,
+    /// Where it listens; one that is gone may have none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub dial: Option<SocketAddr>,
+    /// Its zone.
+    #[serde(default, rename = "site")]
+    pub zone: String,
+    /// Its kind of machine.
+    #[serde(default, rename = "class")]
+    pub kind: String,
+    /// Its cell.
+    #[serde(default, rename = "block")]
+    pub cell: u64,
+    /// Its state.
+    pub health: Health,
+    /// Its weight.
+    #[serde(default = "one", rename = "share")]
+    pub weight: f64,
+    /// When it last started, Unix time in milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub born_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// The state of a server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Health {
+    /// In service.
+    Active,
+    /// Finishing its work.
+    Leaving,
+    /// Gone.
+    Left,
+}
+
+/// What can't be read as the protocol requires.
+#[derive(Debug)]
+pub enum Unreadable {
+    /// Not the JSON of a line.
+    Json(serde_json::Error),
+    /// A server that is not gone says nowhere to reach it.
+    NoDial(String),
+    /// More bytes than a line may have.
+    TooLong,
+}
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Json(error) => error.fmt(f),
+            Self::NoDial(host) => write!(f, "{host}: dial is missing"),
+            Self::TooLong => f.write_str("longer than a line may be"),
+        }
+    }
+}
+
+impl std::error::Error for Unreadable {}
+
+impl From<serde_json::Error> for Unreadable {
+    fn from(error: serde_json::Error) -> Self {
+        Self::Json(error)
+    }
+}
+
+impl Update {
+    /// Reads the bytes of one line.
+    ///
+    /// # Errors
+    /// Names what is missing or malformed.
+    pub fn read(line: &[u8]) -> Result<Self, Unreadable> {
+        serde_json::from_slice::<Self>(line)?.checked()
+    }
+
+    /// The update, if every server that is not gone says where it listens.
+    ///
+    /// # Errors
+    /// Names the first server that does not.
+    pub fn checked(self) -> Result<Self, Unreadable> {
+        match self.hosts.iter().find(|h| h.dial.is_none() && h.health != Health::Left) {
+            Some(host) => Err(Unreadable::NoDial(host.host.clone())),
+            None => Ok(self),
+        }
+    }
+}
+
+/// Cuts a stream into lines.
+#[derive(Default)]
+pub struct Lines {
+    held: Vec<u8>,
+}
+
+impl Lines {
+    /// Takes in what came.
+    ///
+    /// # Errors
+    /// Where a line would be longer than [`LINE_MOST`].
+    pub fn push(&mut self, data: &[u8]) -> Result<(), Unreadable> {
+        if self.held.len() + data.len() > LINE_MOST {
+            return Err(Unreadable::TooLong);
+        }
+        self.held.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// What came and has not ended in a line yet.
+    pub fn rest(&self) -> &[u8] {
+        &self.held
+    }
+}
+
+impl Iterator for Lines {
+    type Item = Vec<u8>;
+
+    /// The next whole line, without its end.
+    fn next(&mut self) -> Option<Vec<u8>> {
+        let end = self.held.iter().position(|b| *b == b'\n')?;
+        let rest = self.held.split_off(end + 1);
+        let mut line = std::mem::replace(&mut self.held, rest);
+        while line.last().is_some_and(u8::is_ascii_whitespace) {
+            line.pop();
+        }
+        Some(line)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_line_is_read_as_it_was_written() {
+        let host = Host {
+            host: "s-1".into(),
+            dial: Some("127.0.0.1:9000".parse().expect("an address")),
+            zone: "a".into(),
+            kind: "m".into(),
+            cell: 3,
+            health: Health::Leaving,
+            weight: 2.0,
+            born_ms: 12.5,
+        };
+        let update = Update { version: 41, whole: true, hosts: vec![host] };
+        let line = serde_json::to_vec(&update).expect("plain data");
+        assert_eq!(Update::read(&line).expect("readable"), update);
+        assert!(String::from_utf8(line).expect("text").contains("\"seq\":41"));
+    }
+
+    #[test]
+    fn only_a_server_that_is_gone_needs_no_address() {
+        let line = |health: &str| {
+            format!(r#"{{"seq":1,"whole":false,"more":7,"hosts":[{{"host":"s","health":"{health}"}}]}}"#)
+        };
+        assert!(Update::read(line("left").as_bytes()).is_ok());
+        for health in ["active", "leaving"] {
+            let words = Update::read(line(health).as_bytes()).expect_err("no address").to_string();
+            assert_eq!(words, "s: dial is missing");
+        }
+        assert!(matches!(Update::read(b"{\"seq\":"), Err(Unreadable::Json(_))));
+    }
+
+    #[test]
+    fn lines_come_whole_however_they_were_cut() {
+        let mut lines = Lines::default();
+        let mut seen = Vec::new();
+        for piece in b"ab\r\n\nc".chunks(1) {
+            lines.push(piece).expect("short");
+            seen.extend(lines.by_ref());
+        }
+        assert_eq!((seen, lines.rest()), (vec![b"ab".to_vec(), Vec::new()], &b"c"[..]));
+        assert!(matches!(lines.push(&vec![0; LINE_MOST]), Err(Unreadable::TooLong)));
+    }
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
 
+use endpoints::{Unreadable, Update};
+use serde::Deserialize;
 use serde_json::Value;
 use tulipmount::wire::{told, Told};
 
-use super::discovery::{self, Update};
-
 /// The node's configuration.
 pub struct Config {
     /// The node's name.
@@ -80,7 +80,10 @@
     let seed = value.get("seed").and_then(Value::as_str).ok_or("seed: text expected")?;
     let known = match value.get("known") {
         None | Some(Value::Null) => None,
-        Some(known) => Some(discovery::update(known.clone()).map_err(|e| format!("known: {e}"))?),
+        Some(known) => {
+            let read = Update::deserialize(known).map_err(Unreadable::from).and_then(Update::checked);
+            Some(read.map_err(|e| format!("known: {e}"))?)
+        }
     };
     let told = told(value.get("settings").unwrap_or(&Value::Null)).map_err(|e| format!("settings: {e}"))?;
     Ok(Config {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,16 +1,14 @@
 //! Discovery: reading the list, and the watch that brings its changes.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use endpoints::{Health, Lines, Unreadable, Update};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response, StatusCode};
-use serde::Deserialize;
-use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tulipmount::{Discovery, Listed};
@@ -19,8 +17,6 @@
 use super::node::Node;
 use super::sock::{Io, Sock};
 
-/// The longest line that is taken.
-const LINE_MOST: usize = 4 << 20;
 /// How long a connection may take.
 const CONNECT: Duration = Duration::from_millis(1000);
 /// How long a call may wait in the queue of a service that is asked.
@@ -35,81 +31,12 @@
 /// as told, so it is soon.
 const AGAIN: Duration = Duration::from_millis(100);
 
-/// One line of discovery.
-#[derive(Debug, Deserialize)]
-pub struct Update {
-    /// The list's version.
-    #[serde(rename = "seq")]
-    pub version: u64,
-    /// The whole list, not just changes.
-    #[serde(rename = "whole")]
-    pub whole: bool,
-    /// The entries.
-    pub hosts: Vec<Host>,
-}
-
-/// One server of a line.
-#[derive(Debug, Deserialize)]
-pub struct Host {
-    /// Its name, the same at every node.
-    pub host: String,
-    /// Where it listens; one that is gone may have none.
-    #[serde(default, rename = "dial")]
-    pub dial: Option<SocketAddr>,
-    /// Its zone.
-    #[serde(default, rename = "site")]
-    pub zone: String,
-    /// Its kind of machine.
-    #[serde(default, rename = "class")]
-    pub kind: String,
-    /// Its cell.
-    #[serde(default, rename = "block")]
-    pub cell: u64,
-    /// Its state.
-    pub health: Health,
-    /// Its weight.
-    #[serde(default = "one", rename = "share")]
-    pub weight: f64,
-    /// When it last started, Unix time in milliseconds; 0 for long ago.
-    #[serde(default)]
-    pub born_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// The state of a server.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum Health {
-    /// In service.
-    Active,
-    /// Finishing its work.
-    Leaving,
-    /// Gone.
-    Left,
-}
-
-impl From<Health> for Listed {
-    fn from(health: Health) -> Self {
-        match health {
-            Health::Active => Self::Up,
-            Health::Leaving => Self::Draining,
-            Health::Left => Self::Gone,
-        }
-    }
-}
-
-/// Reads a line's object.
-///
-/// # Errors
-/// Names what is missing or malformed.
-pub fn update(value: Value) -> Result<Update, String> {
-    let update: Update = serde_json::from_value(value).map_err(|e| e.to_string())?;
-    match update.hosts.iter().find(|h| h.dial.is_none() && h.health != Health::Left) {
-        Some(host) => Err(format!("{}: dial is missing", host.host)),
-        None => Ok(update),
+/// What the list's word for a state means to the module.
+pub fn listed(health: Health) -> Listed {
+    match health {
+        Health::Active => Listed::Up,
+        Health::Leaving => Listed::Draining,
+        Health::Left => Listed::Gone,
     }
 }
 
@@ -121,6 +48,12 @@
     Unreadable(String),
 }
 
+impl From<Unreadable> for Ended {
+    fn from(error: Unreadable) -> Self {
+        Self::Unreadable(error.to_string())
+    }
+}
+
 impl From<hyper::Error> for Ended {
     fn from(error: hyper::Error) -> Self {
         Self::Broken(error.to_string())
@@ -164,11 +97,11 @@
         wait = SILENCE;
         let Ok(data) = frame?.into_data() else { continue };
         lines.push(&data)?;
-        while let Some(line) = lines.next() {
+        for line in lines.by_ref() {
             if line.is_empty() {
                 node.discovery_alive();
             } else {
-                node.listed(read(&line)?);
+                node.listed(Update::read(&line)?);
             }
         }
     }
@@ -185,17 +118,12 @@
             text.push(&data)?;
         }
     }
-    let update = read(&text.held)?;
+    let update = Update::read(text.rest())?;
     let version = update.version;
     node.listed(update);
     Ok(version)
 }
 
-fn read(line: &[u8]) -> Result<Update, Ended> {
-    let value = serde_json::from_slice(line).map_err(|e| Ended::Unreadable(e.to_string()))?;
-    update(value).map_err(Ended::Unreadable)
-}
-
 /// A call's answer; the connection ends with it.
 struct Call {
     answer: Incoming,
@@ -232,29 +160,3 @@
     }
     Ok(Call { answer: answer.into_body(), driver })
 }
-
-/// Cuts a stream into lines.
-#[derive(Default)]
-struct Lines {
-    held: Vec<u8>,
-}
-
-impl Lines {
-    fn push(&mut self, data: &[u8]) -> Result<(), Ended> {
-        if self.held.len() + data.len() > LINE_MOST {
-            return Err(Ended::Unreadable("longer than a line may be".into()));
-        }
-        self.held.extend_from_slice(data);
-        Ok(())
-    }
-
-    fn next(&mut self) -> Option<Vec<u8>> {
-        let end = self.held.iter().position(|b| *b == b'\n')?;
-        let rest = self.held.split_off(end + 1);
-        let mut line = std::mem::replace(&mut self.held, rest);
-        while line.last().is_some_and(u8::is_ascii_whitespace) {
-            line.pop();
-        }
-        Some(line)
-    }
-}
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use endpoints::Update;
 use hyper::{HeaderMap, StatusCode};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
@@ -19,7 +20,7 @@
 use super::bodies::{Budget, Gathered};
 use super::clients::Asked;
 use super::config::Config;
-use super::discovery::{self, Update};
+use super::discovery;
 use super::log;
 use super::metrics::Metrics;
 use super::servers::{self, Pool};
@@ -577,9 +578,9 @@
     }
 
     /// Notes what a line says of a server. It holds from now on, also for sends on their way.
-    fn enter(&self, hosts: &mut HashMap<ServerId, Host>, host: discovery::Host) -> Option<Entry> {
+    fn enter(&self, hosts: &mut HashMap<ServerId, Host>, host: endpoints::Host) -> Option<Entry> {
         let server = ServerId(number_of(&host.host));
-        let state = Listed::from(host.health);
+        let state = discovery::listed(host.health);
         let before = hosts.get(&server);
         if let Some(other) = before.filter(|b| b.name != host.host) {
             log::line(format!("discovery: {} and {} have one number, left out", other.name, host.host));
