Model the servers, clients, list and links of a fleet in a virtual clock

Rejected: emulated parties as tasks with clocks of their own, which can't be tested without waiting nor played twice alike.

--- /dev/null
+++ b/crates/lab/src/plan.rs
@@ -0,0 +1,751 @@
+//! The experiment's file: a fleet, its load, faults on a timeline, and what must hold.
+//!
+//! What a file leaves out has the deployment's figures. Where a `[least, most]` stands, each draw takes a figure
+//! between the two. A file that can't be played is told in one line with file, line and key.
+
+use std::fmt;
+use std::path::Path;
+
+use serde::Deserialize;
+use toml::Spanned;
+
+/// The version of the file's form.
+pub const SCHEMA: u32 = 1;
+/// The most zones, nodes, servers and first tries of one play.
+pub const ZONES_MOST: usize = 6;
+/// The most nodes.
+pub const NODES_MOST: usize = 400;
+/// The most servers that are listed at a time.
+pub const SERVERS_MOST: usize = 400;
+/// The longest play, in seconds.
+pub const LENGTH_MOST: f64 = 3600.0;
+
+/// A figure, or the bounds that a draw takes one from.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(untagged, expecting = "a number or [least, most] expected")]
+pub enum Range {
+    /// Always this.
+    Fixed(f64),
+    /// Something between the two.
+    Between([f64; 2]),
+}
+
+impl Range {
+    /// The least and the most.
+    pub fn bounds(self) -> (f64, f64) {
+        match self {
+            Self::Fixed(v) => (v, v),
+            Self::Between([a, b]) => (a.min(b), a.max(b)),
+        }
+    }
+}
+
+/// An experiment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// The form's version.
+    pub schema: u32,
+    /// What it is called.
+    pub name: String,
+    /// What it is for.
+    #[serde(default)]
+    pub about: String,
+    /// The draw, where the command line names none.
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// How long clients come, in seconds.
+    pub length_s: Spanned<f64>,
+    /// Parties and places.
+    #[serde(default = "unplaced")]
+    pub fleet: Spanned<Fleet>,
+    /// The app servers' kind.
+    #[serde(default = "unplaced")]
+    pub server: Spanned<Kind>,
+    /// What clients ask for.
+    #[serde(default = "unplaced")]
+    pub load: Spanned<Load>,
+    /// The classes of requests.
+    #[serde(default = "classes", rename = "class")]
+    pub classes: Spanned<Vec<Class>>,
+    /// How clients behave.
+    #[serde(default = "unplaced")]
+    pub clients: Spanned<Clients>,
+    /// The network between zones.
+    #[serde(default)]
+    pub network: Network,
+    /// How the list reaches the nodes.
+    #[serde(default)]
+    pub discovery: Discovery,
+    /// The figures of the rules.
+    #[serde(default)]
+    pub rules: Rules,
+    /// What a node may take.
+    #[serde(default)]
+    pub node: NodeLimits,
+    /// What goes wrong.
+    #[serde(default, rename = "fault")]
+    pub faults: Vec<Spanned<Fault>>,
+    /// What must hold.
+    #[serde(default = "unplaced")]
+    pub hold: Spanned<Hold>,
+}
+
+/// What a file leaves out stands nowhere in it.
+fn unplaced<T: Default>() -> Spanned<T> {
+    Spanned::new(0..0, T::default())
+}
+
+fn one() -> u64 {
+    1
+}
+
+/// Parties and places.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Fleet {
+    /// The zones' names.
+    pub zones: Vec<String>,
+    /// How many nodes.
+    pub nodes: Range,
+    /// How many app servers.
+    pub servers: Range,
+    /// By how much zones differ in app servers: 0 alike, 1 from none to twice the mean.
+    pub server_skew: Range,
+    /// How long a front goes on sending to a dead node, in seconds.
+    pub front_notice_s: Range,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            zones: ["maipu", "providencia", "quilicura"].map(String::from).to_vec(),
+            nodes: Range::Fixed(3.0),
+            servers: Range::Between([9.0, 10.0]),
+            server_skew: Range::Between([0.2, 0.5]),
+            front_notice_s: Range::Between([1.3, 3.7]),
+        }
+    }
+}
+
+/// A kind of app server. Work is in milliseconds of one core at speed 1.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Kind {
+    /// Cores; a request runs on one.
+    pub cores: usize,
+    /// The mean speed of the draw's servers.
+    pub speed: Range,
+    /// How the servers' speeds differ: standard deviation over mean.
+    pub speed_cv: Range,
+    /// Requests that may wait, for each core; one more is turned away.
+    pub queue_per_core: Range,
+    /// Held requests for each core from which on it works less well ...
+    pub thrash_at: Range,
+    /// ... by this much of its time for each further one.
+    pub thrash: Range,
+    /// The capacity that it starts with, as a share ...
+    pub cold_from: Range,
+    /// ... which grows evenly to 1 in this time.
+    pub cold_s: Range,
+    /// The share of requests that fail.
+    pub error_rate: Range,
+    /// The share of draws in which a cancelled request that waits is dropped.
+    pub drops_cancelled: Range,
+    /// The connections that it accepts, for each core.
+    pub connections_per_core: Range,
+    /// The share of capacity that a full table of connections takes.
+    pub full_tax: Range,
+    /// The work of a new connection, in ms.
+    pub handshake_ms: Range,
+    /// The round trips of a new connection.
+    pub handshake_trips: Range,
+    /// A connection that is idle for so long is closed.
+    pub idle_s: f64,
+    /// Crowding: held requests for each core ...
+    pub choke_at: Range,
+    /// ... for this long ...
+    pub choke_over_s: Range,
+    /// ... make it slower by this factor ...
+    pub choke_slower: Range,
+    /// ... until it held fewer than this for each core ...
+    pub choke_below: Range,
+    /// ... for this long ...
+    pub choke_rest_s: Range,
+    /// ... or this has passed.
+    pub choke_most_s: Range,
+}
+
+impl Default for Kind {
+    fn default() -> Self {
+        Self {
+            cores: 2,
+            speed: Range::Between([0.85, 1.1]),
+            speed_cv: Range::Between([0.05, 0.2]),
+            queue_per_core: Range::Between([10.0, 19.0]),
+            thrash_at: Range::Between([5.0, 8.0]),
+            thrash: Range::Between([0.04, 0.14]),
+            cold_from: Range::Between([0.31, 0.5]),
+            cold_s: Range::Between([3.0, 8.5]),
+            error_rate: Range::Between([0.0, 0.001]),
+            drops_cancelled: Range::Fixed(0.5),
+            connections_per_core: Range::Between([600.0, 900.0]),
+            full_tax: Range::Between([0.16, 0.38]),
+            handshake_ms: Range::Between([1.8, 6.0]),
+            handshake_trips: Range::Between([1.0, 3.0]),
+            idle_s: 15.0,
+            choke_at: Range::Between([4.0, 7.0]),
+            choke_over_s: Range::Between([1.5, 2.5]),
+            choke_slower: Range::Between([2.5, 3.3]),
+            choke_below: Range::Between([0.25, 0.4]),
+            choke_rest_s: Range::Between([2.2, 4.7]),
+            choke_most_s: Range::Between([15.0, 35.0]),
+        }
+    }
+}
+
+/// What clients ask for.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Load {
+    /// First tries, as a share of what the warm fleet can do.
+    pub of_capacity: Range,
+    /// First tries a second, in place of that.
+    pub per_s: Option<Range>,
+    /// Over the run the rate rises by this share of itself and falls again.
+    pub swing: Range,
+    /// By how much zones differ in traffic.
+    pub zone_skew: Range,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            of_capacity: Range::Between([0.56, 0.8]),
+            per_s: None,
+            swing: Range::Between([0.16, 0.36]),
+            zone_skew: Range::Between([0.25, 0.6]),
+        }
+    }
+}
+
+/// How the work of a class is spread.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum Dist {
+    /// Exponential.
+    Exp,
+    /// Lognormal.
+    Lognormal,
+}
+
+/// May a request run again?
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum Effect {
+    /// Any number of times.
+    Safe,
+    /// Repeats are dropped by all servers, for a while.
+    Keyed,
+    /// Never.
+    Unsafe,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name, the first part of the path.
+    pub name: String,
+    /// Its share of the first tries.
+    pub share: f64,
+    /// Mean work, in ms.
+    pub work_ms: Range,
+    /// How work is spread.
+    pub dist: Dist,
+    /// Standard deviation over mean, for a lognormal one.
+    #[serde(default = "unit")]
+    pub cv: Range,
+    /// Wanted within.
+    pub aim_ms: f64,
+    /// Given up after, all tries together.
+    pub deadline_ms: f64,
+    /// Worth of an answer within the aim, for a unit of work.
+    pub worth: f64,
+    /// May it run again?
+    pub effect: Effect,
+    /// How long repeats are dropped, where it is keyed.
+    #[serde(default)]
+    pub window_ms: f64,
+}
+
+fn unit() -> Range {
+    Range::Fixed(1.0)
+}
+
+fn classes() -> Spanned<Vec<Class>> {
+    let class = |name: &str, share, work, cv, deadline_ms, worth, effect, window_ms| Class {
+        name: name.into(),
+        share,
+        work_ms: Range::Between(work),
+        dist: if effect == Effect::Safe { Dist::Exp } else { Dist::Lognormal },
+        cv: Range::Between(cv),
+        aim_ms: 300.0,
+        deadline_ms,
+        worth,
+        effect,
+        window_ms,
+    };
+    let lookup = class("lot-lookup", 0.55, [41.0, 73.0], [0.94, 1.4], 600.0, 3.0, Effect::Safe, 0.0);
+    let file = class("cert-request", 0.45, [33.0, 59.0], [0.73, 1.2], 1000.0, 2.0, Effect::Keyed, 5000.0);
+    Spanned::new(0..0, vec![lookup, file])
+}
+
+/// How clients behave.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Clients {
+    /// Further tries of a request.
+    pub retries: Range,
+    /// A try is given up after this share of the class's time.
+    pub try_share: Range,
+    /// The wait before the first further try, doubled for each next one; each wait is between half and all of it.
+    pub backoff_ms: Range,
+    /// The share of clients that stay away for as long as a refusal says.
+    pub honour: Range,
+    /// The longest that they do.
+    pub max_retry_after_ms: f64,
+    /// The share of tries whose client leaves early.
+    pub impatient: Range,
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        Self {
+            retries: Range::Between([1.0, 2.99]),
+            try_share: Range::Between([0.5, 0.8]),
+            backoff_ms: Range::Between([24.0, 190.0]),
+            honour: Range::Between([0.7, 1.0]),
+            max_retry_after_ms: 500.0,
+            impatient: Range::Between([0.0, 0.03]),
+        }
+    }
+}
+
+/// The network between zones; each message also has a jitter of its own.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Network {
+    /// One way within a zone, in ms.
+    pub same_ms: Range,
+    /// One way between zones, in ms.
+    pub cross_ms: Range,
+    /// One way between a client and its zone's nodes, in ms.
+    pub client_ms: Range,
+    /// Mean of the jitter, as a share of the delay.
+    pub jitter: Range,
+    /// Bytes a second that an answer between zones passes with; 0: no limit.
+    pub bytes_per_s: f64,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self {
+            same_ms: Range::Between([0.18, 0.31]),
+            cross_ms: Range::Between([0.7, 1.3]),
+            client_ms: Range::Between([0.2, 1.2]),
+            jitter: Range::Between([0.06, 0.33]),
+            bytes_per_s: 0.0,
+        }
+    }
+}
+
+/// How the list reaches the nodes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Discovery {
+    /// A drain, or an end in order, is listed after this.
+    pub notice_s: Range,
+    /// A server that vanished is listed as gone after this.
+    pub silent_notice_s: Range,
+    /// A server that started is listed after this.
+    pub add_s: Range,
+    /// Nodes hear of a version within this of each other.
+    pub spread_ms: Range,
+}
+
+impl Default for Discovery {
+    fn default() -> Self {
+        Self {
+            notice_s: Range::Between([1.1, 4.6]),
+            silent_notice_s: Range::Between([5.8, 14.0]),
+            add_s: Range::Between([0.45, 1.9]),
+            spread_ms: Range::Between([54.0, 120.0]),
+        }
+    }
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Rules {
+    /// Nothing new to a server later than this after its drain was told.
+    pub drain_grace_ms: f64,
+    /// A cold server falls over when sent more than this many times what it can do ...
+    pub fall_multiple: f64,
+    /// ... for this long.
+    pub fall_ms: f64,
+    /// Attempts at a request.
+    pub attempts: usize,
+    /// Every time limit on sockets is longer by this.
+    pub slack_ms: f64,
+    /// A final answer may come this much after its time.
+    pub answer_slack_ms: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            drain_grace_ms: 300.0,
+            fall_multiple: 3.0,
+            fall_ms: 1500.0,
+            attempts: 5,
+            slack_ms: 50.0,
+            answer_slack_ms: 20.0,
+        }
+    }
+}
+
+/// What a node may take.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct NodeLimits {
+    /// Resident memory.
+    pub memory_mb: f64,
+    /// Descriptors.
+    pub sockets: u64,
+    /// How long it may take until it is ready.
+    pub ready_s: f64,
+}
+
+impl Default for NodeLimits {
+    fn default() -> Self {
+        Self { memory_mb: 192.0, sockets: 1024, ready_s: 20.0 }
+    }
+}
+
+/// What a fault does.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Trouble {
+    /// Nodes are killed, and started again after `for_s`.
+    Kill,
+    /// Nodes are told to end, and started again once they have.
+    Restart,
+    /// Nodes stand still for `for_s`.
+    Stop,
+    /// App servers vanish without a word for `for_s` and come back cold.
+    Lose,
+    /// App servers end at once, resetting what they had, and come back cold after `for_s`.
+    Crash,
+    /// App servers are slower by `factor`.
+    Slow,
+    /// Another program takes the share `factor` of app servers, on and off.
+    Neighbour,
+    /// The share `factor` of requests at app servers fails.
+    Errors,
+    /// The share `factor` of answers is sent `slower_ms` late, and the share `garbled` breaks off.
+    Gray,
+    /// The share `factor` of answers is lost with its connection.
+    Reset,
+    /// App servers are drained, ended and started anew, in `steps` over `for_s`.
+    Release,
+    /// App servers are drained and others started in their place, in `steps` over `for_s`.
+    Replace,
+    /// Nothing passes between a zone and the others; connections stay up.
+    Cut,
+    /// The list is silent.
+    ListOutage,
+    /// Load grows by `factor`.
+    Burst,
+}
+
+/// One line of the timeline.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// What happens.
+    pub kind: Trouble,
+    /// When, in seconds from the first client on.
+    pub at_s: f64,
+    /// For how long.
+    #[serde(default)]
+    pub for_s: f64,
+    /// To whom: those of a zone ...
+    pub zone: Option<String>,
+    /// ... a share of them ...
+    pub share: Option<f64>,
+    /// ... or certain ones, by number.
+    pub ids: Option<Vec<usize>>,
+    /// How strongly.
+    pub factor: Option<f64>,
+    /// In how many steps.
+    pub steps: Option<usize>,
+    /// How late a gray server answers.
+    pub slower_ms: Option<f64>,
+    /// The share of answers that break off.
+    pub garbled: Option<f64>,
+    /// Of a cut: only what goes `out` of the zone, or `in`to it; both where absent.
+    pub way: Option<Way>,
+}
+
+/// One way of a link.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum Way {
+    /// From the zone to the others.
+    Out,
+    /// From the others to the zone.
+    In,
+}
+
+/// What must hold; what is absent is not asked for. No rule may be broken in any case.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Hold {
+    /// Share of the worth that is served within the aim, at least.
+    pub served: Option<f64>,
+    /// The same for the class that is served worst.
+    pub worst_class: Option<f64>,
+    /// The same for the worst 10 s.
+    pub worst_window: Option<f64>,
+    /// The same, as a share of what the oracle serves on this draw.
+    pub of_oracle: Option<f64>,
+    /// The 99th percentile of the time to an answer that is served, at most.
+    pub p99_ms: Option<f64>,
+    /// Attempts for each first try, at most.
+    pub attempts: Option<f64>,
+    /// Share of attempts that cross zones, at most.
+    pub cross_zone: Option<f64>,
+    /// The longest time from a fault's end until service is back.
+    pub recover_s: Option<f64>,
+}
+
+/// Why a file can't be played: one line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlanError {
+    /// The file.
+    pub file: String,
+    /// The line, from 1.
+    pub line: usize,
+    /// What is wrong, with the key.
+    pub words: String,
+}
+
+impl fmt::Display for PlanError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.file, self.line, self.words)
+    }
+}
+
+impl std::error::Error for PlanError {}
+
+impl Plan {
+    /// Reads a file.
+    ///
+    /// # Errors
+    /// One line that names what can't be played.
+    pub fn load(path: &Path) -> Result<Self, PlanError> {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::read(&file, &text),
+            Err(error) => Err(PlanError { file, line: 1, words: error.to_string() }),
+        }
+    }
+
+    /// Reads a file's text.
+    ///
+    /// # Errors
+    /// As [`Plan::load`].
+    pub fn read(file: &str, text: &str) -> Result<Self, PlanError> {
+        let line = |at: usize| text.as_bytes().iter().take(at).filter(|b| **b == b'\n').count() + 1;
+        let fail = |at: usize, words: String| PlanError { file: file.into(), line: line(at), words };
+        let plan: Self = toml::from_str(text).map_err(|e| {
+            let words = e.message().replace('\n', " ");
+            fail(e.span().map_or(0, |s| s.start), words)
+        })?;
+        plan.check().map_err(|(at, words)| fail(at, words))?;
+        Ok(plan)
+    }
+
+    /// The first thing that can't be played, and where it stands.
+    fn check(&self) -> Result<(), (usize, String)> {
+        if self.schema != SCHEMA {
+            return Err((0, format!("schema: {SCHEMA} is known, not {}", self.schema)));
+        }
+        let length = *self.length_s.get_ref();
+        if !(length > 0.0 && length <= LENGTH_MOST) {
+            return Err((
+                self.length_s.span().start,
+                format!("length_s: {length} is not in 0 to {LENGTH_MOST}"),
+            ));
+        }
+        self.check_fleet().map_err(|w| (self.fleet.span().start, w))?;
+        self.check_figures()?;
+        for fault in &self.faults {
+            self.check_fault(fault.get_ref()).map_err(|w| (fault.span().start, w))?;
+        }
+        Ok(())
+    }
+
+    fn check_fleet(&self) -> Result<(), String> {
+        let fleet = self.fleet.get_ref();
+        if fleet.zones.is_empty() || fleet.zones.len() > ZONES_MOST {
+            return Err(format!("fleet.zones: 1 to {ZONES_MOST} are possible, not {}", fleet.zones.len()));
+        }
+        for (key, range, most) in
+            [("fleet.nodes", fleet.nodes, NODES_MOST), ("fleet.servers", fleet.servers, SERVERS_MOST)]
+        {
+            let (least, largest) = range.bounds();
+            if !(least >= 1.0 && largest <= most as f64) {
+                return Err(format!("{key}: 1 to {most} are possible"));
+            }
+        }
+        share("fleet.server_skew", fleet.server_skew)
+    }
+
+    fn check_figures(&self) -> Result<(), (usize, String)> {
+        let kind = self.server.get_ref();
+        let at = self.server.span().start;
+        if kind.cores == 0 || kind.cores > 256 {
+            return Err((at, "server.cores: 1 to 256 are possible".into()));
+        }
+        for (key, range) in [
+            ("server.speed", kind.speed),
+            ("server.cold_from", kind.cold_from),
+            ("server.choke_slower", kind.choke_slower),
+            ("server.connections_per_core", kind.connections_per_core),
+        ] {
+            if !(range.bounds().0 > 0.0 && range.bounds().1.is_finite()) {
+                return Err((at, format!("{key}: must be above 0")));
+            }
+        }
+        for (key, range) in [
+            ("server.cold_from", kind.cold_from),
+            ("server.error_rate", kind.error_rate),
+            ("server.drops_cancelled", kind.drops_cancelled),
+            ("server.full_tax", kind.full_tax),
+        ] {
+            share(key, range).map_err(|w| (at, w))?;
+        }
+        let load = self.load.get_ref();
+        let at = self.load.span().start;
+        share("load.zone_skew", load.zone_skew).map_err(|w| (at, w))?;
+        share("load.swing", load.swing).map_err(|w| (at, w))?;
+        let rate = load.per_s.unwrap_or(load.of_capacity).bounds();
+        if !(rate.0 >= 0.0 && rate.1 <= 1e5) {
+            return Err((at, "load: the rate must be within 0 and 100000".into()));
+        }
+        let at = self.classes.span().start;
+        if self.classes.get_ref().is_empty() {
+            return Err((at, "class: one is needed at least".into()));
+        }
+        for class in self.classes.get_ref() {
+            let name = &class.name;
+            let figures = [class.work_ms.bounds().0, class.aim_ms, class.deadline_ms, class.worth];
+            if figures.iter().any(|v| !(*v > 0.0 && v.is_finite())) || class.share < 0.0 {
+                return Err((
+                    at,
+                    format!("class {name}: work_ms, aim_ms, deadline_ms, worth must be above 0"),
+                ));
+            }
+        }
+        let clients = self.clients.get_ref();
+        let at = self.clients.span().start;
+        for (key, range) in [
+            ("clients.try_share", clients.try_share),
+            ("clients.honour", clients.honour),
+            ("clients.impatient", clients.impatient),
+        ] {
+            share(key, range).map_err(|w| (at, w))?;
+        }
+        if !(0.0..=10.0).contains(&clients.retries.bounds().1) {
+            return Err((at, "clients.retries: 0 to 10 are possible".into()));
+        }
+        Ok(())
+    }
+
+    fn check_fault(&self, fault: &Fault) -> Result<(), String> {
+        let length = *self.length_s.get_ref();
+        let name = format!("{:?}", fault.kind).to_lowercase();
+        let fail = |words: String| Err(format!("fault {name}: {words}"));
+        if !(fault.at_s >= 0.0 && fault.at_s < length) {
+            return fail(format!("at_s: {} is not within the {length} s of the run", fault.at_s));
+        }
+        if !(fault.for_s >= 0.0 && fault.at_s + fault.for_s <= length) {
+            return fail(format!("for_s: it ends after the {length} s of the run"));
+        }
+        let fleet = self.fleet.get_ref();
+        if let Some(zone) = &fault.zone {
+            if !fleet.zones.contains(zone) {
+                return fail(format!("zone: {zone} is not in fleet.zones"));
+            }
+        }
+        if fault.share.is_some_and(|s| !(s > 0.0 && s <= 1.0)) {
+            return fail("share: a share above 0 and up to 1 expected".into());
+        }
+        if fault.garbled.is_some_and(|s| !(0.0..=1.0).contains(&s)) {
+            return fail("garbled: a share from 0 to 1 expected".into());
+        }
+        let of_nodes = matches!(fault.kind, Trouble::Kill | Trouble::Restart | Trouble::Stop);
+        let most = if of_nodes { fleet.nodes } else { fleet.servers }.bounds().0 as usize;
+        if let Some(id) = fault.ids.iter().flatten().find(|id| **id >= most) {
+            return fail(format!("ids: {id} is not there; they count from 0 to {}", most - 1));
+        }
+        match fault.kind {
+            Trouble::Cut if fault.zone.is_none() => fail("zone is missing".into()),
+            Trouble::Slow | Trouble::Burst if !fault.factor.is_some_and(|f| f > 0.0 && f <= 1000.0) => {
+                fail("factor: a figure above 0 expected".into())
+            }
+            Trouble::Neighbour | Trouble::Errors | Trouble::Gray | Trouble::Reset
+                if !fault.factor.is_some_and(|f| (0.0..=1.0).contains(&f)) =>
+            {
+                fail("factor: a share from 0 to 1 expected".into())
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+fn share(key: &str, range: Range) -> Result<(), String> {
+    let (least, most) = range.bounds();
+    if least >= 0.0 && most <= 1.0 {
+        Ok(())
+    } else {
+        Err(format!("{key}: a share from 0 to 1 expected"))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn words(text: &str) -> String {
+        Plan::read("x.toml", &format!("schema = 1\nname = \"x\"\nlength_s = 10\n{text}"))
+            .expect_err("can't be played")
+            .to_string()
+    }
+
+    #[test]
+    fn what_can_t_be_played_is_told_with_file_line_and_key() {
+        assert!(words("[load]\nrats = 3\n").starts_with("x.toml:5: unknown field `rats`"));
+        let fault = |rest: &str| words(&format!("[[fault]]\nkind = \"cut\"\nat_s = 2\n{rest}"));
+        assert_eq!(fault("zone = \"nowhere\"\n"), "x.toml:4: fault cut: zone: nowhere is not in fleet.zones");
+        assert_eq!(fault("for_s = 9\n"), "x.toml:4: fault cut: for_s: it ends after the 10 s of the run");
+        assert!(words("[server]\ncores = 0\n").contains("server.cores"));
+        assert!(words("[fleet]\nnodes = 4000\n").contains("fleet.nodes: 1 to 400"));
+        assert!(words("[[fault]]\nkind = \"slow\"\nat_s = 1\n").contains("factor"));
+        assert!(words("[[fault]]\nkind = \"stop\"\nids = [7]\nat_s = 1\n").contains("ids: 7 is not there"));
+        assert!(Plan::read("x.toml", "schema = 2\nname = \"x\"\nlength_s = 1").is_err());
+    }
+}
--- /dev/null
+++ b/crates/lab/src/server.rs
@@ -0,0 +1,450 @@
+//! One app server as a pure state machine over a virtual clock.
+//!
+//! Requests run first come first served, one to a core, with a bounded queue; one more is turned away. What it gets
+//! done depends on its speed, how warm it is, slow spells, what another program takes, how many requests and
+//! connections it holds, and whether crowding has choked it. Sent too much while cold, it falls over and stays down.
+
+use std::collections::VecDeque;
+
+/// A time or a span, in microseconds from the run's start.
+pub type Us = u64;
+
+/// While a server warms up its capacity is taken as constant for this long.
+const WARMING_STEP: Us = 20_000;
+/// What the fall rule allows beyond the budget, for chance: work in microseconds.
+const FALL_SLACK: f64 = 200_000.0;
+
+/// What a server is like. Work is in microseconds of one core at speed 1.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Figures {
+    /// Cores.
+    pub cores: usize,
+    /// Work that a core gets done in a microsecond.
+    pub speed: f64,
+    /// Requests that may wait.
+    pub queue: usize,
+    /// Held requests for each core from which on it works less well ...
+    pub thrash_at: f64,
+    /// ... by this part for each further one.
+    pub thrash: f64,
+    /// Capacity at the start, as a share.
+    pub cold_from: f64,
+    /// It is warm after this.
+    pub cold: Us,
+    /// The share of requests that fail.
+    pub error_rate: f64,
+    /// A cancelled request that waits is dropped.
+    pub drops_cancelled: bool,
+    /// The connections that it accepts.
+    pub connections: usize,
+    /// The share of capacity that a full table of them takes.
+    pub full_tax: f64,
+    /// The work of a new one.
+    pub handshake: f64,
+    /// Crowding.
+    pub choke: Choke,
+    /// The rule on cold servers: it falls when sent this many times its capacity ...
+    pub fall_multiple: f64,
+    /// ... over this window.
+    pub fall_window: Us,
+}
+
+/// How a server is choked by crowding.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choke {
+    /// More held requests for each core than this ...
+    pub at: f64,
+    /// ... for this long ...
+    pub over: Us,
+    /// ... make it slower by this ...
+    pub slower: f64,
+    /// ... until it held fewer than this ...
+    pub below: f64,
+    /// ... for this long ...
+    pub rest: Us,
+    /// ... or this has passed.
+    pub most: Us,
+}
+
+/// What became of a request that arrived.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Arrived {
+    /// It runs or waits.
+    Taken,
+    /// There was no room.
+    TurnedAway,
+    /// It was too much for a cold server, which is down from now on. `told` is the share of the work in the window
+    /// that came from nodes which had been told of its start.
+    Fell {
+        /// From 0 to 1.
+        told: f64,
+    },
+}
+
+#[derive(Debug)]
+struct Running {
+    job: u64,
+    left: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Choked {
+    No { crowded: Option<Us> },
+    Since { at: Us, rested: Option<Us> },
+}
+
+/// A server.
+#[derive(Debug)]
+pub struct Server {
+    figures: Figures,
+    now: Us,
+    /// When it started; `None` where it has been warm all along.
+    born: Option<Us>,
+    running: Vec<Running>,
+    waiting: VecDeque<(u64, f64)>,
+    slower: f64,
+    taken: f64,
+    held_connections: usize,
+    /// Work of handshakes that the next request to start has to wait for.
+    handshakes: f64,
+    choked: Choked,
+    /// Work that arrived in the fall window: when, how much, from a node that was told of the start.
+    pressure: VecDeque<(Us, f64, bool)>,
+    /// Work that it has done in all.
+    done: f64,
+}
+
+impl Server {
+    /// A server that has been warm for long, or that starts at `born`.
+    pub fn new(figures: Figures, born: Option<Us>) -> Self {
+        Self {
+            figures,
+            now: born.unwrap_or(0),
+            born,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            slower: 1.0,
+            taken: 0.0,
+            held_connections: 0,
+            handshakes: 0.0,
+            choked: Choked::No { crowded: None },
+            pressure: VecDeque::new(),
+            done: 0.0,
+        }
+    }
+
+    /// What it is like.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// Requests that run or wait.
+    pub fn held(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
+    /// Work that it has done in all.
+    pub fn work_done(&self) -> f64 {
+        self.done
+    }
+
+    /// Work that it holds and has not done.
+    pub fn backlog(&self) -> f64 {
+        self.running.iter().map(|r| r.left).sum::<f64>() + self.waiting.iter().map(|w| w.1).sum::<f64>()
+    }
+
+    /// Is it still warming up?
+    pub fn cold(&self, now: Us) -> bool {
+        self.born.is_some_and(|born| now < born + self.figures.cold)
+    }
+
+    /// The share of its capacity that it has by its age.
+    fn warmth(&self, now: Us) -> f64 {
+        let from = self.figures.cold_from;
+        match self.born {
+            Some(born) if now < born + self.figures.cold => {
+                from + (1.0 - from) * now.saturating_sub(born) as f64 / self.figures.cold as f64
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Work that a core gets done in a microsecond, as things are.
+    fn rate(&self, now: Us) -> f64 {
+        let f = &self.figures;
+        let crowd = (self.held() as f64 / f.cores as f64 - f.thrash_at).max(0.0);
+        let table = (self.held_connections as f64 / f.connections.max(1) as f64).min(1.0);
+        let choke = if matches!(self.choked, Choked::Since { .. }) { f.choke.slower } else { 1.0 };
+        f.speed * self.warmth(now) * (1.0 - self.taken) * (1.0 - f.full_tax * table)
+            / (self.slower * choke * (1.0 + f.thrash * crowd))
+    }
+
+    /// Work that it gets done in a microsecond with all cores busy.
+    pub fn capacity(&self, now: Us) -> f64 {
+        self.rate(now) * self.figures.cores as f64
+    }
+
+    /// Makes it slower by a factor, and lets another program take a share of it.
+    pub fn burden(&mut self, slower: f64, taken: f64) {
+        (self.slower, self.taken) = (slower.max(0.01), taken.clamp(0.0, 0.99));
+    }
+
+    /// One more connection; false where it has no room for it.
+    pub fn connect(&mut self) -> bool {
+        if self.held_connections >= self.figures.connections {
+            return false;
+        }
+        self.held_connections += 1;
+        self.handshakes += self.figures.handshake;
+        true
+    }
+
+    /// A connection ended.
+    pub fn disconnect(&mut self) {
+        self.held_connections = self.held_connections.saturating_sub(1);
+    }
+
+    /// A request arrives; [`Server::advance`] must have brought the server to this moment.
+    pub fn arrive(&mut self, job: u64, work: f64, told: bool) -> Arrived {
+        if let Some(told) = self.pressed(work, told) {
+            return Arrived::Fell { told };
+        }
+        if self.running.len() < self.figures.cores {
+            self.start(job, work);
+        } else if self.waiting.len() < self.figures.queue {
+            self.waiting.push_back((job, work));
+        } else {
+            return Arrived::TurnedAway;
+        }
+        self.crowd();
+        Arrived::Taken
+    }
+
+    /// Notes what a cold server was sent; the told share where it was too much.
+    fn pressed(&mut self, work: f64, told: bool) -> Option<f64> {
+        let (now, window) = (self.now, self.figures.fall_window);
+        if !self.cold(now) {
+            self.pressure.clear();
+            return None;
+        }
+        self.pressure.push_back((now, work, told));
+        while self.pressure.front().is_some_and(|p| p.0 + window < now) {
+            self.pressure.pop_front();
+        }
+        let sent: f64 = self.pressure.iter().map(|p| p.1).sum();
+        let able = self.figures.speed * self.warmth(now) * self.figures.cores as f64;
+        let budget = self.figures.fall_multiple * able * window as f64 + FALL_SLACK;
+        let from_told = || self.pressure.iter().filter(|p| p.2).map(|p| p.1).sum::<f64>() / sent;
+        (sent > budget).then(from_told)
+    }
+
+    fn start(&mut self, job: u64, work: f64) {
+        let left = work + std::mem::take(&mut self.handshakes);
+        self.running.push(Running { job, left });
+    }
+
+    /// Its node no longer wants this; true where it waited and is dropped.
+    pub fn cancel(&mut self, job: u64) -> bool {
+        let place = self.waiting.iter().position(|w| w.0 == job);
+        let dropped = self.figures.drops_cancelled && place.is_some();
+        if let (true, Some(place)) = (dropped, place) {
+            self.waiting.remove(place);
+            self.crowd();
+        }
+        dropped
+    }
+
+    /// Looks at how crowded it is, for how long, and what follows.
+    fn crowd(&mut self) {
+        let (now, choke) = (self.now, &self.figures.choke);
+        let held = self.held() as f64 / self.figures.cores as f64;
+        self.choked = match self.choked {
+            Choked::No { crowded } if held > choke.at => match crowded {
+                Some(since) if now >= since + choke.over => Choked::Since { at: now, rested: None },
+                since => Choked::No { crowded: since.or(Some(now)) },
+            },
+            Choked::No { .. } => Choked::No { crowded: None },
+            Choked::Since { at, .. } if now >= at + choke.most => Choked::No { crowded: None },
+            Choked::Since { at, rested } if held < choke.below => match rested {
+                Some(since) if now >= since + choke.rest => Choked::No { crowded: None },
+                since => Choked::Since { at, rested: since.or(Some(now)) },
+            },
+            Choked::Since { at, .. } => Choked::Since { at, rested: None },
+        };
+    }
+
+    /// Is it slow from crowding?
+    pub fn choked(&self) -> bool {
+        matches!(self.choked, Choked::Since { .. })
+    }
+
+    /// When something happens next, if nothing else comes.
+    pub fn next_due(&self) -> Option<Us> {
+        let f = &self.figures;
+        let choke = match self.choked {
+            Choked::No { crowded } => crowded.map(|since| since + f.choke.over),
+            Choked::Since { at, rested } => {
+                let most = at + f.choke.most;
+                Some(rested.map_or(most, |since| most.min(since + f.choke.rest)))
+            }
+        };
+        let least = self.running.iter().map(|r| r.left).min_by(f64::total_cmp);
+        let done = least.map(|left| {
+            let end = self.now + ((left / self.rate(self.now)).ceil() as Us).max(1);
+            if self.cold(self.now) {
+                end.min(self.now + WARMING_STEP)
+            } else {
+                end
+            }
+        });
+        [choke, done].into_iter().flatten().min().map(|due| due.max(self.now))
+    }
+
+    /// Lets time pass; the requests that ended, with when they did.
+    pub fn advance(&mut self, to: Us, ended: &mut Vec<(u64, Us)>) {
+        while let Some(due) = self.next_due().filter(|due| *due <= to) {
+            self.pass(due, ended);
+        }
+        self.pass(to, ended);
+    }
+
+    /// Lets time pass in which the rate is constant.
+    fn pass(&mut self, to: Us, ended: &mut Vec<(u64, Us)>) {
+        let span = to.saturating_sub(self.now) as f64;
+        let step = span * self.rate(self.now);
+        self.now = self.now.max(to);
+        for running in &mut self.running {
+            self.done += step.min(running.left);
+            running.left -= step;
+        }
+        let over = |r: &Running| r.left <= 1e-6;
+        ended.extend(self.running.iter().filter(|r| over(r)).map(|r| (r.job, to)));
+        self.running.retain(|r| !over(r));
+        while self.running.len() < self.figures.cores {
+            let Some((job, work)) = self.waiting.pop_front() else { break };
+            self.start(job, work);
+        }
+        self.crowd();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn figures() -> Figures {
+        Figures {
+            cores: 2,
+            speed: 1.0,
+            queue: 4,
+            thrash_at: 100.0,
+            thrash: 0.1,
+            cold_from: 0.5,
+            cold: 4_000_000,
+            error_rate: 0.0,
+            drops_cancelled: true,
+            connections: 3,
+            full_tax: 0.0,
+            handshake: 0.0,
+            choke: Choke { at: 2.0, over: 100_000, slower: 2.0, below: 0.5, rest: 50_000, most: 9_000_000 },
+            fall_multiple: 3.0,
+            fall_window: 1_500_000,
+        }
+    }
+
+    fn ends(server: &mut Server, to: Us) -> Vec<(u64, Us)> {
+        let mut ended = Vec::new();
+        server.advance(to, &mut ended);
+        ended
+    }
+
+    #[test]
+    fn two_run_four_wait_and_the_seventh_is_turned_away() {
+        let mut server = Server::new(figures(), None);
+        let came: Vec<_> = (0..7).map(|job| server.arrive(job, 10_000.0, true)).collect();
+        assert_eq!(came[..6], [Arrived::Taken; 6]);
+        assert_eq!(came[6], Arrived::TurnedAway);
+        assert_eq!(ends(&mut server, 10_000), [(0, 10_000), (1, 10_000)]);
+        assert!(server.cancel(5) && !server.cancel(2), "only what waits is dropped");
+        assert_eq!(ends(&mut server, 40_000), [(2, 20_000), (3, 20_000), (4, 30_000)]);
+        assert_eq!((server.held(), server.work_done().round()), (0, 50_000.0));
+    }
+
+    #[test]
+    fn a_cold_one_takes_longer_the_colder_it_is() {
+        let mut server = Server::new(figures(), Some(0));
+        server.arrive(1, 10_000.0, true);
+        let early = ends(&mut server, 1_000_000)[0].1;
+        assert!((19_500..20_100).contains(&early), "{early}");
+        ends(&mut server, 2_000_000);
+        server.arrive(2, 10_000.0, true);
+        let later = ends(&mut server, 3_000_000)[0].1 - 2_000_000;
+        assert!((13_000..13_400).contains(&later), "at three quarters of its speed: {later}");
+    }
+
+    #[test]
+    fn a_cold_one_sent_three_times_its_capacity_falls_and_a_warm_one_does_not() {
+        let push = |born| {
+            let mut server = Server::new(figures(), born);
+            (0..2000u64).find_map(|n| {
+                ends(&mut server, n * 2_000);
+                match server.arrive(n, 10_000.0, n % 4 != 0) {
+                    Arrived::Fell { told } => Some((n * 2_000, told)),
+                    _ => None,
+                }
+            })
+        };
+        // Five cores' worth of work a second against three times one to one and a half: by 1.5 s or so.
+        let (at, told) = push(Some(0)).expect("it falls");
+        assert!((900_000..1_600_000).contains(&at) && (0.74..0.76).contains(&told), "{at} {told}");
+        assert_eq!(push(None), None);
+    }
+
+    #[test]
+    fn crowding_for_long_chokes_it_until_it_has_rested() {
+        let mut server = Server::new(figures(), None);
+        for job in 0..6 {
+            server.arrive(job, 200_000.0, true);
+        }
+        ends(&mut server, 90_000);
+        assert!(!server.choked());
+        ends(&mut server, 110_000);
+        assert!(server.choked());
+        // 100 ms of work are left of the first two, at half the speed.
+        assert_eq!(ends(&mut server, 400_000), [(0, 300_000), (1, 300_000)]);
+        let last = ends(&mut server, 1_200_000).last().copied();
+        assert_eq!((last, server.choked()), (Some((5, 1_100_000)), false), "50 ms after the last");
+    }
+
+    #[test]
+    fn it_has_room_for_so_many_connections_and_their_work_comes_first() {
+        let mut server = Server::new(Figures { handshake: 5_000.0, ..figures() }, None);
+        assert_eq!(
+            [server.connect(), server.connect(), server.connect(), server.connect()],
+            [true, true, true, false]
+        );
+        server.disconnect();
+        assert!(server.connect());
+        server.arrive(1, 10_000.0, true);
+        assert_eq!(ends(&mut server, 100_000), [(1, 30_000)]);
+    }
+
+    #[test]
+    fn the_same_inputs_give_the_same_trace_and_none_is_lost() {
+        let play = || {
+            let mut server = Server::new(Figures { thrash_at: 1.0, ..figures() }, Some(0));
+            let mut trace = Vec::new();
+            let mut taken = 0;
+            for n in 0..300u64 {
+                server.advance(n * 7_001, &mut trace);
+                server.burden(if n % 50 < 25 { 1.0 } else { 3.0 }, 0.0);
+                taken += usize::from(server.arrive(n, 1_000.0 * (n % 17) as f64, true) == Arrived::Taken);
+            }
+            server.advance(60_000_000, &mut trace);
+            assert_eq!(trace.len(), taken);
+            assert!(trace.is_sorted_by_key(|t| t.1));
+            trace
+        };
+        assert_eq!(play(), play());
+    }
+}
--- /dev/null
+++ b/crates/lab/src/tally.rs
@@ -0,0 +1,137 @@
+//! What is counted while an experiment runs, by class and second of asking.
+
+use crate::server::Us;
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// Served within the aim.
+    InTime,
+    /// Served after it.
+    Late,
+    /// Refused at last.
+    Refused,
+    /// Failed at last.
+    Failed,
+    /// Given up, or left, without an answer.
+    Unanswered,
+}
+
+/// One class's requests of one second.
+#[derive(Clone, Debug, Default)]
+pub struct Window {
+    /// How many ended in which way, in the order of [`End`].
+    pub ends: [u64; 5],
+    /// Worth asked for.
+    pub asked: f64,
+    /// Worth served in time.
+    pub served: f64,
+    /// The times to the answers that were served, in microseconds.
+    pub took: Vec<u32>,
+}
+
+/// Counts of one second over all nodes and servers.
+#[derive(Clone, Debug, Default)]
+pub struct Second {
+    /// Tries of clients.
+    pub tries: u64,
+    /// Attempts that reached servers' machines.
+    pub attempts: u64,
+    /// Of those, turned away.
+    pub turned_away: u64,
+    /// New connections to servers.
+    pub connections: u64,
+    /// Connections that a server refused.
+    pub refused_connections: u64,
+}
+
+/// All counts.
+#[derive(Debug, Default)]
+pub struct Tally {
+    /// By class, then by second.
+    pub windows: Vec<Vec<Window>>,
+    /// By second.
+    pub seconds: Vec<Second>,
+    /// Attempts by server, then by second.
+    pub load: Vec<Vec<u32>>,
+    /// Attempts that crossed zones.
+    pub crossed: u64,
+    /// Worth that ended unserved only after its aim had passed.
+    pub failed_late: f64,
+    /// Work of answers that reached their client in time or late.
+    pub useful: f64,
+    /// Work asked for, first tries alone.
+    pub work: f64,
+    /// Answers after the time that the client gave and its slack.
+    pub overdue: u64,
+    /// Servers that were choked by crowding at some time.
+    pub choked: std::collections::BTreeSet<usize>,
+}
+
+/// The element of a second, made where it is the first of it.
+fn at<T: Clone + Default>(of: &mut Vec<T>, second: usize) -> &mut T {
+    if of.len() <= second {
+        of.resize(second + 1, T::default());
+    }
+    &mut of[second]
+}
+
+impl Tally {
+    /// Nothing has happened yet.
+    pub fn new(classes: usize) -> Self {
+        Self { windows: vec![Vec::new(); classes], ..Self::default() }
+    }
+
+    /// The counts of a moment's second.
+    pub fn second(&mut self, now: Us) -> &mut Second {
+        at(&mut self.seconds, (now / 1_000_000) as usize)
+    }
+
+    /// A request of this worth was asked for.
+    pub fn asked(&mut self, class: usize, when: Us, worth: f64) {
+        at(&mut self.windows[class], (when / 1_000_000) as usize).asked += worth;
+    }
+
+    /// It ended.
+    pub fn ended(&mut self, class: usize, when: Us, worth: f64, end: End, took: Us) {
+        let window = at(&mut self.windows[class], (when / 1_000_000) as usize);
+        window.ends[end as usize] += 1;
+        if end == End::InTime {
+            window.served += worth;
+        }
+        if matches!(end, End::InTime | End::Late) {
+            window.took.push(took.min(u64::from(u32::MAX)) as u32);
+        }
+    }
+
+    /// An attempt reached a server's machine.
+    pub fn attempt(&mut self, now: Us, server: usize, crossed: bool) {
+        self.second(now).attempts += 1;
+        self.crossed += u64::from(crossed);
+        *at(at(&mut self.load, server), (now / 1_000_000) as usize) += 1;
+    }
+
+    /// Worth served over worth asked for, of some classes and a span of seconds.
+    pub fn share(&self, classes: impl Iterator<Item = usize>, seconds: std::ops::Range<usize>) -> f64 {
+        let (mut asked, mut served) = (0.0, 0.0);
+        for class in classes {
+            for window in self.windows[class].iter().take(seconds.end).skip(seconds.start) {
+                asked += window.asked;
+                served += window.served;
+            }
+        }
+        if asked > 0.0 {
+            served / asked
+        } else {
+            1.0
+        }
+    }
+
+    /// The worst share of any `span` seconds in a row, of `length` seconds.
+    pub fn worst(&self, span: usize, length: usize) -> f64 {
+        let last = length.saturating_sub(span.min(length));
+        let shares =
+            (0..=last).map(|from| self.share(0..self.windows.len(), from..(from + span).min(length)));
+        shares.fold(1.0, f64::min)
+    }
+}
--- /dev/null
+++ b/crates/stoneshift/src/main.rs
@@ -0,0 +1,2 @@
+//! The command line.
+fn main() {}
