--- /dev/null
+++ b/crates/lab/src/live/address.rs
@@ -0,0 +1,104 @@
+//! The addresses of one run: a /16 of its own within 127.0.0.0/8, claimed so that runs side by side do not meet.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
+
+use super::LabError;
+
+/// The second bytes of the blocks that runs may claim.
+const BLOCKS: std::ops::Range<u8> = 64..192;
+/// The port of the claim, of nodes and servers, and of discovery.
+const CLAIM_PORT: u16 = 61_000;
+const PORT: u16 = 9_000;
+const LIST_PORT: u16 = 8_500;
+/// The third bytes: nodes, their discovery, and the servers of each zone.
+const NODES: u8 = 1;
+const LISTS: u8 = 8;
+const SERVERS: u8 = 32;
+/// Blocks of 250 addresses that each zone's servers have.
+const SERVER_BLOCKS: u8 = 8;
+const IN_BLOCK: usize = 250;
+
+/// A claimed block. It is free again when this is dropped, or its process ends in any way.
+#[derive(Debug)]
+pub struct Block {
+    second: u8,
+    _claim: TcpListener,
+}
+
+/// Addresses that can be passed on.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    second: u8,
+}
+
+impl Block {
+    /// Claims a block that no other run has.
+    ///
+    /// # Errors
+    /// Where all are taken, or loopback addresses can't be listened at.
+    pub fn claim() -> Result<Self, LabError> {
+        // Runs that start together begin at different places.
+        let first = BLOCKS.start + (std::process::id() % u32::from(BLOCKS.end - BLOCKS.start)) as u8;
+        let mut last = None;
+        for second in (first..BLOCKS.end).chain(BLOCKS.start..first) {
+            match TcpListener::bind((Ipv4Addr::new(127, second, 0, 1), CLAIM_PORT)) {
+                Ok(claim) => return Ok(Self { second, _claim: claim }),
+                Err(error) => last = Some(error),
+            }
+        }
+        Err(LabError::Addresses(last.map_or_else(String::new, |e| e.to_string())))
+    }
+
+    /// Its addresses.
+    pub fn addresses(&self) -> Addresses {
+        Addresses { second: self.second }
+    }
+}
+
+impl Addresses {
+    fn at(self, third: u8, place: usize, port: u16) -> SocketAddr {
+        let third = third + (place / IN_BLOCK) as u8;
+        let fourth = 1 + (place % IN_BLOCK) as u8;
+        SocketAddrV4::new(Ipv4Addr::new(127, self.second, third, fourth), port).into()
+    }
+
+    /// Where clients reach a node.
+    pub fn node(self, node: usize) -> SocketAddr {
+        self.at(NODES, node, PORT)
+    }
+
+    /// Where a node finds discovery.
+    pub fn list(self, node: usize) -> SocketAddr {
+        self.at(LISTS, node, LIST_PORT)
+    }
+
+    /// Where the nodes of a zone reach a server.
+    pub fn server(self, server: usize, zone: usize) -> SocketAddr {
+        self.at(SERVERS + SERVER_BLOCKS * zone as u8, server, PORT)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::plan::{NODES_MOST, SERVERS_MOST, ZONES_MOST};
+    use std::collections::BTreeSet;
+
+    #[test]
+    fn two_runs_and_all_parties_of_one_have_addresses_of_their_own() {
+        let (one, two) = (Block::claim().expect("a block"), Block::claim().expect("another"));
+        assert_ne!(one.second, two.second);
+        let a = one.addresses();
+        let mut seen = BTreeSet::new();
+        for n in 0..NODES_MOST {
+            assert!(seen.insert(a.node(n).ip()) && seen.insert(a.list(n).ip()));
+        }
+        for zone in 0..ZONES_MOST {
+            // Each server may be replaced.
+            for server in 0..2 * SERVERS_MOST {
+                assert!(seen.insert(a.server(server, zone).ip()));
+            }
+        }
+        assert!(seen.iter().all(std::net::IpAddr::is_loopback));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/live/clients.rs
@@ -0,0 +1,139 @@
+//! The clients' side of the sockets: a request is written when it is due, and what comes back is told.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+
+use super::Stage;
+use crate::draw::s;
+use crate::plan::Effect;
+use crate::world::Got;
+
+/// The largest body of an answer.
+const BODY_MOST: usize = 64 * 1024;
+/// A connection that does not come up in this time is not waited for.
+const CONNECT: Duration = Duration::from_secs(3);
+
+/// The connections that clients have to one node.
+pub struct Pool {
+    node: SocketAddr,
+    idle: RefCell<Vec<Conn>>,
+    /// Connections at a time.
+    most: Semaphore,
+}
+
+/// A connection; it ends when this is dropped.
+struct Conn {
+    send: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Pool {
+    /// No connections yet.
+    pub fn new(node: SocketAddr, most: usize) -> Self {
+        Self { node, idle: RefCell::default(), most: Semaphore::new(most) }
+    }
+
+    fn idle(&self) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(conn) = idle.pop() {
+            if conn.send.is_ready() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    async fn open(&self) -> Option<Conn> {
+        let stream = tokio::time::timeout(CONNECT, TcpStream::connect(self.node)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (send, conn) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        // What breaks the connection breaks its request too, and is seen there.
+        let driver = tokio::task::spawn_local(async move { drop(conn.await) });
+        Some(Conn { send, driver })
+    }
+}
+
+/// Writes a client's request and tells what came of it.
+pub async fn ask(stage: Rc<Stage>, ask: usize) {
+    let got = converse(&stage, ask).await;
+    stage.with(|world, now| world.ask_ended(now, ask, got));
+    stage.asked_for(ask);
+}
+
+async fn converse(stage: &Rc<Stage>, ask: usize) -> Got {
+    let pool = stage.pool(ask);
+    let Ok(_place) = pool.most.acquire().await else { return Got::NotTaken };
+    if let Some(mut conn) = pool.idle() {
+        let answer = conn.send.send_request(request(stage, ask)).await;
+        match answer {
+            Ok(answer) => return hear(stage, &pool, conn, answer).await,
+            // A node may close a connection between requests: a request that crosses that goes out once more.
+            Err(error) if error.is_canceled() || error.is_closed() || error.is_incomplete_message() => {}
+            Err(_) => {}
+        }
+    }
+    let Some(mut conn) = pool.open().await else { return Got::NotTaken };
+    match conn.send.send_request(request(stage, ask)).await {
+        Ok(answer) => hear(stage, &pool, conn, answer).await,
+        Err(_) => Got::Broken { begun: false },
+    }
+}
+
+async fn hear(stage: &Rc<Stage>, pool: &Pool, conn: Conn, answer: Response<hyper::body::Incoming>) -> Got {
+    let (head, body) = answer.into_parts();
+    let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return Got::Broken { begun: true } };
+    let after = head.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
+    let body = body.to_bytes();
+    pool.idle.borrow_mut().push(conn);
+    let attempt = stage.world().of_body(&body);
+    Got::Answer { status: head.status.as_u16(), retry_after: after.map(s), attempt }
+}
+
+fn request(stage: &Stage, ask: usize) -> Request<Full<Bytes>> {
+    let world = stage.world();
+    let asked = world.asked(ask);
+    let class = &world.draw().classes[asked.class];
+    let (method, body) = match class.effect {
+        Effect::Safe => (Method::GET, Bytes::new()),
+        Effect::Keyed | Effect::Unsafe => (Method::POST, Bytes::from(format!("{:.<100}", asked.request))),
+    };
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    let path = format!("/{}/{}", class.name, asked.request);
+    if let Ok(uri) = path.parse() {
+        *request.uri_mut() = uri;
+    }
+    let mut header = |name: &'static str, value: String| {
+        if let Ok(value) = value.parse() {
+            request.headers_mut().insert(name, value);
+        }
+    };
+    header("host", "service.internal".into());
+    header("x-txn", world.txn(ask));
+    header("x-remaining-ms", (asked.wait / 1000).to_string());
+    header("x-estimate", format!("{:.0}", asked.work));
+    if asked.again {
+        header("x-resent", "1".into());
+    }
+    if class.effect == Effect::Keyed {
+        header("idempotency-key", format!("{:016x}{:016x}", world.draw().seed, asked.request));
+    }
+    request
+}
--- /dev/null
+++ b/crates/lab/src/live/mod.rs
@@ -0,0 +1,415 @@
+//! Plays an experiment on sockets and in real time: starts the nodes, carries out what the world gives, and tells it
+//! what the nodes do. One thread does it all; a timer of the kernel's wakes it to the microsecond.
+
+mod address;
+mod agent;
+mod clients;
+mod process;
+mod servers;
+
+use std::cell::{Cell, Ref, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use nix::sys::resource::{getrlimit, setrlimit, Resource};
+use nix::unistd::Pid;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, AbortHandle, LocalSet};
+
+use self::address::{Addresses, Block};
+use self::agent::Agent;
+use self::clients::Pool;
+use self::process::Launch;
+use self::servers::Doors;
+use crate::draw::Draw;
+use crate::plan::Plan;
+use crate::server::Us;
+use crate::world::{Out, Signal, World};
+
+/// Between the last node's being ready and the first client.
+const SETTLE: Duration = Duration::from_millis(300);
+/// How often nodes' memory and descriptors, and the run's progress, are looked at.
+const SAMPLE: Duration = Duration::from_millis(1000);
+/// How long a node that was killed may take to be gone.
+const GONE: Duration = Duration::from_secs(5);
+
+/// Why a run could not be played.
+#[derive(Debug)]
+pub enum LabError {
+    /// No block of addresses is free.
+    Addresses(String),
+    /// An address can't be listened at.
+    Listen {
+        /// The address.
+        at: SocketAddr,
+        /// Why not.
+        words: String,
+    },
+    /// A node could not be started, or ended before it was ready.
+    Start {
+        /// The node.
+        node: usize,
+        /// What happened.
+        words: String,
+    },
+    /// A node did not get ready in its time.
+    NotReady {
+        /// The node.
+        node: usize,
+        /// The time, in seconds.
+        within: f64,
+        /// The last line of its log.
+        last: String,
+    },
+    /// A file or the runtime failed.
+    Io(String),
+}
+
+impl fmt::Display for LabError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Addresses(words) => write!(f, "no block of loopback addresses is free: {words}"),
+            Self::Listen { at, words } => write!(f, "{at} can't be listened at: {words}"),
+            Self::Start { node, words } => write!(f, "node n{node} could not be started: {words}"),
+            Self::NotReady { node, within, last } => {
+                write!(f, "node n{node} was not ready within {within} s; its last line: {last}")
+            }
+            Self::Io(words) => f.write_str(words),
+        }
+    }
+}
+
+impl std::error::Error for LabError {}
+
+/// How a run is to be played.
+pub struct Options<'a> {
+    /// The node's program.
+    pub program: PathBuf,
+    /// Where the nodes' logs go.
+    pub logs: &'a Path,
+    /// Hears once a second how far the run is: the share of it, and what is served.
+    pub progress: &'a dyn Fn(f64, f64),
+}
+
+/// What a run leaves.
+pub struct Played {
+    /// The world at its end.
+    pub world: World,
+    /// It was broken off.
+    pub interrupted: bool,
+    /// The most memory that a node held, in MiB, and the most descriptors.
+    pub held: (f64, u64),
+    /// Processor time of the lab itself, as a share of one core.
+    pub busy: f64,
+}
+
+/// All that the parties on sockets share.
+pub(crate) struct Stage {
+    world: RefCell<World>,
+    start: Cell<Option<Instant>>,
+    changed: Notify,
+    pub(crate) addresses: Addresses,
+    pub(crate) doors: Doors,
+    pub(crate) agents: Vec<Agent>,
+    pools: Vec<Rc<Pool>>,
+    asking: RefCell<HashMap<usize, AbortHandle>>,
+    nodes: Vec<NodeState>,
+    launch: Launch,
+    pub(crate) idle: Duration,
+    ready_within: Duration,
+    held: Cell<(f64, u64)>,
+    failed: RefCell<Option<LabError>>,
+}
+
+#[derive(Default)]
+struct NodeState {
+    id: Cell<Option<Pid>>,
+    life: Cell<u32>,
+    gone: Notify,
+}
+
+/// Plays a draw on sockets.
+///
+/// # Errors
+/// Where it could not be played; all that was started has ended then.
+pub fn play(plan: &Plan, draw: Rc<Draw>, options: &Options) -> Result<Played, LabError> {
+    raise_descriptors();
+    let io = |words: &str| {
+        let words = words.to_string();
+        move |e: std::io::Error| LabError::Io(format!("{words}: {e}"))
+    };
+    std::fs::create_dir_all(options.logs).map_err(io("logs"))?;
+    let folder =
+        tempfile::Builder::new().prefix("stoneshift-lab-").tempdir().map_err(io("temporary folder"))?;
+    let block = Block::claim()?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(io("runtime"))?;
+    let addresses = block.addresses();
+    let launch = Launch::new(&options.program, folder.path(), options.logs, addresses, plan, &draw);
+    let dial = Rc::new(move |server, zone| addresses.server(server, zone));
+    let clients_most = (plan.node.sockets / 3).max(1) as usize;
+    let nodes = draw.nodes.len();
+    let stage = Rc::new(Stage {
+        world: RefCell::new(World::new(draw, plan.rules.clone(), 0.0, dial)),
+        start: Cell::new(None),
+        changed: Notify::new(),
+        addresses,
+        doors: Doors::default(),
+        agents: (0..nodes).map(|_| Agent::default()).collect(),
+        pools: (0..nodes).map(|n| Rc::new(Pool::new(addresses.node(n), clients_most))).collect(),
+        asking: RefCell::default(),
+        nodes: (0..nodes).map(|_| NodeState::default()).collect(),
+        launch,
+        idle: Duration::from_secs_f64(plan.server.get_ref().idle_s.max(0.1)),
+        ready_within: Duration::from_secs_f64(plan.node.ready_s.max(0.1)),
+        held: Cell::default(),
+        failed: RefCell::default(),
+    });
+    let local = LocalSet::new();
+    let busy = cpu_time();
+    let began = Instant::now();
+    let played = local.block_on(&runtime, stage.clone().play(options));
+    let busy = (cpu_time() - busy).as_secs_f64() / began.elapsed().as_secs_f64();
+    local.block_on(&runtime, stage.clear());
+    // Tasks hold the stage; with them gone it is the only one, and every child has been ended.
+    drop(local);
+    let interrupted = played?;
+    let held = stage.held.get();
+    let stage = Rc::into_inner(stage).ok_or_else(|| LabError::Io("a task outlived the run".into()))?;
+    Ok(Played { world: stage.world.into_inner(), interrupted, held, busy })
+}
+
+/// As many descriptors as the system gives: there are many parties.
+fn raise_descriptors() {
+    if let Ok((_, most)) = getrlimit(Resource::RLIMIT_NOFILE) {
+        // What is there is used, where it can't be raised.
+        let _ = setrlimit(Resource::RLIMIT_NOFILE, most, most);
+    }
+}
+
+/// Processor time that this process has used.
+fn cpu_time() -> Duration {
+    use nix::sys::resource::{getrusage, UsageWho};
+    let Ok(usage) = getrusage(UsageWho::RUSAGE_SELF) else { return Duration::ZERO };
+    let us = |t: nix::sys::time::TimeVal| t.tv_sec() as u64 * 1_000_000 + t.tv_usec() as u64;
+    Duration::from_micros(us(usage.user_time()) + us(usage.system_time()))
+}
+
+impl Stage {
+    fn now(&self) -> Us {
+        self.start.get().map_or(0, |start| Instant::now().saturating_duration_since(start).as_micros() as Us)
+    }
+
+    /// The world, to look at.
+    pub(crate) fn world(&self) -> Ref<'_, World> {
+        self.world.borrow()
+    }
+
+    /// Tells the world something, and carries out what follows.
+    pub(crate) fn with<T>(self: &Rc<Self>, tell: impl FnOnce(&mut World, Us) -> T) -> T {
+        let (told, sooner) = {
+            let mut world = self.world.borrow_mut();
+            let due = world.next_due();
+            let told = tell(&mut world, self.now());
+            (told, world.next_due() < due)
+        };
+        self.carry_out();
+        if sooner {
+            self.changed.notify_one();
+        }
+        told
+    }
+
+    fn carry_out(self: &Rc<Self>) {
+        loop {
+            let Some(out) = self.world.borrow_mut().take() else { return };
+            match out {
+                Out::Ask(ask) => {
+                    let task = spawn_local(clients::ask(self.clone(), ask));
+                    self.asking.borrow_mut().insert(ask, task.abort_handle());
+                }
+                Out::Leave(ask) => {
+                    if let Some(task) = self.asking.borrow_mut().remove(&ask) {
+                        task.abort();
+                    }
+                }
+                Out::Reply { attempt, reply } => self.doors.reply(attempt, reply),
+                Out::Reach { server, zone, reach } => {
+                    if let Err(error) = self.doors.set(self, server, zone, reach) {
+                        self.failed.borrow_mut().get_or_insert(error);
+                    }
+                }
+                Out::Drop(server) => self.doors.drop_connections(server),
+                Out::Tell { node, to, .. } => agent::tell(self, node, to),
+                // Agents look at the world before they speak.
+                Out::Silence(_) => {}
+                Out::Signal(node, signal) => {
+                    if let Some(id) = self.nodes[node].id.get() {
+                        process::signal(id, signal);
+                    }
+                }
+                Out::Start(node) => drop(spawn_local(self.clone().start_again(node))),
+            }
+        }
+    }
+
+    fn pool(&self, ask: usize) -> Rc<Pool> {
+        self.pools[self.world().asked(ask).node].clone()
+    }
+
+    fn asked_for(&self, ask: usize) {
+        self.asking.borrow_mut().remove(&ask);
+    }
+
+    // ---- Nodes ----
+
+    /// Starts a node, and watches it until it ends.
+    fn start_node(self: &Rc<Self>, node: usize) -> Result<(), LabError> {
+        let state = &self.nodes[node];
+        let known = {
+            let world = self.world();
+            serde_json::to_value(world.line(node, 0, world.version(node)))
+        };
+        let known = known.map_err(|e| LabError::Io(e.to_string()))?;
+        let process = self.launch.start(node, state.life.replace(state.life.get() + 1), known)?;
+        state.id.set(Some(process.id()));
+        let stage = self.clone();
+        spawn_local(async move {
+            let how = process.ended().await;
+            tracing::debug!(node, how, "node ended");
+            stage.nodes[node].id.set(None);
+            stage.nodes[node].gone.notify_waiters();
+            if stage.start.get().is_some() {
+                stage.with(|world, now| world.node_ended(now, node));
+            }
+        });
+        Ok(())
+    }
+
+    /// Waits until a node is ready, or has failed to get there.
+    async fn until_ready(&self, node: usize) -> Result<(), LabError> {
+        let gone = self.nodes[node].gone.notified();
+        let last = || self.launch.last_line(node);
+        tokio::select! {
+            () = process::until_ready(self.addresses.node(node)) => Ok(()),
+            () = gone => Err(LabError::Start { node, words: format!("it ended at once: {}", last()) }),
+            () = tokio::time::sleep(self.ready_within) => {
+                Err(LabError::NotReady { node, within: self.ready_within.as_secs_f64(), last: last() })
+            }
+        }
+    }
+
+    async fn start_again(self: Rc<Self>, node: usize) {
+        let gone = self.nodes[node].gone.notified();
+        if self.nodes[node].id.get().is_some() {
+            // A killed process takes a moment to be gone, and holds its address until then.
+            let _ = tokio::time::timeout(GONE, gone).await;
+        }
+        let started = match self.start_node(node) {
+            Ok(()) => self.until_ready(node).await,
+            Err(error) => Err(error),
+        };
+        match started {
+            Ok(()) => self.with(|world, now| world.node_ready(now, node)),
+            Err(error) => drop(self.failed.borrow_mut().get_or_insert(error)),
+        }
+    }
+
+    /// Ends every node, and waits for that; the play is over, and their ends mean nothing.
+    async fn clear(&self) {
+        self.start.set(None);
+        for node in &self.nodes {
+            let gone = node.gone.notified();
+            if let Some(id) = node.id.get() {
+                process::signal(id, Signal::Kill);
+                let _ = tokio::time::timeout(GONE, gone).await;
+            }
+        }
+    }
+
+    // ---- The play ----
+
+    /// From the first listener to the last answer; whether it was broken off.
+    async fn play(self: Rc<Self>, options: &Options<'_>) -> Result<bool, LabError> {
+        for server in 0..self.world().server_count() {
+            for zone in 0..self.world().draw().zones.len() {
+                let reach = self.world().reach(server, zone);
+                self.doors.set(&self, server, zone, reach)?;
+            }
+        }
+        for node in 0..self.nodes.len() {
+            agent::serve(self.clone(), node).await?;
+        }
+        let interrupt = tokio::signal::ctrl_c();
+        tokio::pin!(interrupt);
+        let prepare = async {
+            for node in 0..self.nodes.len() {
+                self.start_node(node)?;
+            }
+            for node in 0..self.nodes.len() {
+                self.until_ready(node).await?;
+            }
+            Ok(())
+        };
+        tokio::select! {
+            prepared = prepare => prepared?,
+            _ = &mut interrupt => return Ok(true),
+        }
+        tokio::time::sleep(SETTLE).await;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.world.borrow_mut().begin_at(unix.as_secs_f64() * 1e3);
+        self.start.set(Some(Instant::now()));
+        tokio::select! {
+            played = self.drive() => played?,
+            () = self.sample(options) => {}
+            _ = &mut interrupt => return Ok(true),
+        }
+        Ok(false)
+    }
+
+    async fn drive(self: &Rc<Self>) -> Result<(), LabError> {
+        let io = |e: std::io::Error| LabError::Io(format!("timer: {e}"));
+        let start = self.start.get().unwrap_or_else(Instant::now);
+        let mut timer = tokio_timerfd::Delay::new(start).map_err(io)?;
+        loop {
+            self.with(World::advance);
+            if let Some(error) = self.failed.borrow_mut().take() {
+                return Err(error);
+            }
+            if self.world().over() {
+                return Ok(());
+            }
+            let due = self.world().next_due().map_or(SAMPLE, Duration::from_micros);
+            timer.reset(start + due);
+            tokio::select! {
+                woken = &mut timer => woken.map_err(io)?,
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    /// Looks at what nodes hold; never ends.
+    async fn sample(self: &Rc<Self>, options: &Options<'_>) {
+        let limits = self.launch.limits();
+        loop {
+            tokio::time::sleep(SAMPLE).await;
+            for (node, state) in self.nodes.iter().enumerate() {
+                let Some((memory, descriptors)) = state.id.get().and_then(process::holds) else { continue };
+                let most = self.held.get();
+                self.held.set((most.0.max(memory), most.1.max(descriptors)));
+                if memory > limits.0 || descriptors > limits.1 {
+                    let words = format!("it holds {memory:.1} MiB and {descriptors} descriptors");
+                    self.with(|world, now| world.over_limits(now, node, words));
+                }
+            }
+            let (now, world) = (self.now(), self.world());
+            let second = (now / 1_000_000) as usize;
+            let served = world.tally().share(0..world.draw().classes.len(), second.saturating_sub(3)..second);
+            (options.progress)(now as f64 / world.draw().length as f64, served);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/live/process.rs
@@ -0,0 +1,216 @@
+//! The nodes' processes: started from the program's own binary, signalled by id, watched until they end.
+
+use std::fs::{self, File};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nix::sys::signal::{kill, Signal as Sig};
+use nix::unistd::Pid;
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+
+use super::address::Addresses;
+use super::LabError;
+use crate::draw::Draw;
+use crate::plan::{Effect, Plan};
+use crate::world::Signal;
+
+/// How often a node that starts is asked whether it is ready.
+const ASK: Duration = Duration::from_millis(25);
+/// How long one such question may take.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// How nodes are started.
+pub struct Launch {
+    program: PathBuf,
+    folder: PathBuf,
+    logs: PathBuf,
+    addresses: Addresses,
+    settings: Value,
+    limits: Value,
+    seed: u64,
+    zones: Vec<String>,
+    node_zones: Vec<usize>,
+}
+
+/// A node's process.
+pub struct Process {
+    child: Child,
+    id: Pid,
+}
+
+impl Launch {
+    /// For the nodes of a draw; configurations and scratch space go under `folder`, logs under `logs`.
+    pub fn new(
+        program: &Path,
+        folder: &Path,
+        logs: &Path,
+        addresses: Addresses,
+        plan: &Plan,
+        draw: &Rc<Draw>,
+    ) -> Self {
+        Self {
+            program: program.into(),
+            folder: folder.into(),
+            logs: logs.into(),
+            addresses,
+            settings: settings(plan, draw),
+            limits: json!({"cores": 1.0, "memory_mb": plan.node.memory_mb, "sockets": plan.node.sockets}),
+            seed: draw.seed,
+            zones: draw.zones.clone(),
+            node_zones: draw.nodes.clone(),
+        }
+    }
+
+    /// Starts a node with a last list of servers.
+    ///
+    /// # Errors
+    /// Names the node and what failed.
+    pub fn start(&self, node: usize, life: u32, known: Value) -> Result<Process, LabError> {
+        let fail = |error: std::io::Error| LabError::Start { node, words: error.to_string() };
+        let scratch = self.folder.join(format!("n{node}-{life}"));
+        fs::create_dir_all(&scratch).map_err(fail)?;
+        let mut settings = self.settings.clone();
+        settings["Me"] = json!(node);
+        settings["MyZone"] = json!(self.zones[self.node_zones[node]]);
+        let (listen, discovery) =
+            (self.addresses.node(node).to_string(), self.addresses.list(node).to_string());
+        // Each start has numbers of its own, and the same ones in each play.
+        let seed = self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ ((node as u64) << 32) ^ u64::from(life);
+        let config = json!({
+            "name": format!("n{node}"), "listen": listen, "discovery": discovery,
+            "seed": format!("{seed:016x}"), "limits": self.limits, "known": known, "settings": settings,
+        });
+        let file = self.folder.join(format!("n{node}-{life}.json"));
+        fs::write(&file, config.to_string()).map_err(fail)?;
+        let log = self.log(node);
+        let log = File::options().create(true).append(true).open(log).map_err(fail)?;
+        let mut command = Command::new(&self.program);
+        for name in ["ADMIN_ADDR", "INHERITED_FD"] {
+            command.env_remove(format!("BALANCER_{name}"));
+        }
+        command
+            .env("BALANCER_CONFIG", &file)
+            .env("BALANCER_NAME", format!("n{node}"))
+            .env("BALANCER_LISTEN", listen)
+            .env("BALANCER_DISCOVERY", discovery)
+            .env("TMPDIR", &scratch)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().map_err(fail)?)
+            .stderr(log)
+            .kill_on_drop(true)
+            // A group of its own: a Ctrl-C at the terminal is the lab's to see, which then ends the nodes.
+            .process_group(0);
+        let child = command
+            .spawn()
+            .map_err(|e| LabError::Start { node, words: format!("{}: {e}", self.program.display()) })?;
+        let id = child.id().map(|id| Pid::from_raw(id as i32));
+        let id = id.ok_or_else(|| LabError::Start { node, words: "it has no process id".into() })?;
+        Ok(Process { child, id })
+    }
+
+    /// The memory in MiB, and the descriptors, that a node may hold.
+    pub fn limits(&self) -> (f64, u64) {
+        let limit = |name: &str| self.limits[name].as_f64().unwrap_or(f64::INFINITY);
+        (limit("memory_mb"), limit("sockets") as u64)
+    }
+
+    /// The file of a node's log lines.
+    pub fn log(&self, node: usize) -> PathBuf {
+        self.logs.join(format!("n{node}.log"))
+    }
+
+    /// The last line that a node logged, for whoever wonders why it did not come up.
+    pub fn last_line(&self, node: usize) -> String {
+        let text = fs::read_to_string(self.log(node)).unwrap_or_default();
+        text.lines().next_back().unwrap_or("it said nothing").to_string()
+    }
+}
+
+impl Process {
+    /// Its id, for signals and for what it holds.
+    pub fn id(&self) -> Pid {
+        self.id
+    }
+
+    /// Waits until it ends; how it did.
+    pub async fn ended(mut self) -> String {
+        match self.child.wait().await {
+            Ok(status) => status.to_string(),
+            Err(error) => error.to_string(),
+        }
+    }
+}
+
+/// Sends a signal to a node that this run started and that has not been waited for.
+pub fn signal(id: Pid, signal: Signal) {
+    let signal = match signal {
+        Signal::Kill => Sig::SIGKILL,
+        Signal::Terminate => Sig::SIGTERM,
+        Signal::Stop => Sig::SIGSTOP,
+        Signal::Continue => Sig::SIGCONT,
+    };
+    // One that has just ended by itself is seen by whoever waits for it.
+    let _ = kill(id, signal);
+}
+
+/// Resident memory in MiB, and descriptors; `None` where the process is gone.
+pub fn holds(id: Pid) -> Option<(f64, u64)> {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let resident = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    let kib: f64 = resident.trim().trim_end_matches(" kB").parse().ok()?;
+    let descriptors = fs::read_dir(format!("/proc/{id}/fd")).ok()?.count() as u64;
+    Some((kib / 1024.0, descriptors))
+}
+
+/// Waits until a node says that it can serve.
+pub async fn until_ready(at: SocketAddr) {
+    loop {
+        if let Ok(Ok(true)) = tokio::time::timeout(PATIENCE, ready(at)).await {
+            return;
+        }
+        tokio::time::sleep(ASK).await;
+    }
+}
+
+async fn ready(at: SocketAddr) -> std::io::Result<bool> {
+    let mut stream = TcpStream::connect(at).await?;
+    stream.write_all(b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").await?;
+    let mut head = [0; 12];
+    stream.read_exact(&mut head).await?;
+    Ok(head.ends_with(b" 200"))
+}
+
+/// The settings that nodes are told, but for their own number and zone.
+fn settings(plan: &Plan, draw: &Draw) -> Value {
+    let ms = |us: u64| us as f64 / 1e3;
+    let classes = draw.classes.iter().map(|c| {
+        let effect = match c.effect {
+            Effect::Safe => "pure",
+            Effect::Keyed => "token",
+            Effect::Unsafe => "side_effect",
+        };
+        json!({"Name": c.name, "Slo": ms(c.aim), "Deadline": ms(c.deadline), "Value": c.worth, "LateValue": 0.0,
+            "Idempotency": effect, "DedupScope": "all", "MemorySpan": ms(c.window), "Stream": false})
+    });
+    let (kind, rules) = (plan.server.get_ref(), &plan.rules);
+    json!({
+        "Classes": classes.collect::<Vec<_>>(),
+        "Clients": {"MarksRetry": true},
+        "Contract": {"AnswerSlack": rules.answer_slack_ms, "AskWithin": 10000.0,
+            "ColdShare": kind.cold_from.bounds().0, "DrainGrace": rules.drain_grace_ms, "Fall": rules.fall_ms,
+            "FallMultiple": rules.fall_multiple, "WarmWithin": kind.cold_s.bounds().1 * 1e3},
+        "CountedBy": "work", "Customers": [], "Discovery": "automatic", "Family": "proxy",
+        "Goal": {"Whole": 0.55, "WorstClass": 0.3, "WorstTenant": 0.0, "WorstWindow": 0.15},
+        "Limits": {"AttemptsCap": rules.attempts, "Cancel": true, "ConnectTimeout": 150.0, "Keepalive": kind.idle_s * 1e3,
+            "MaxRetryAfter": plan.clients.get_ref().max_retry_after_ms, "MayDuplicate": true, "Multiplex": 1,
+            "OpenCap": 20000, "Peers": false, "Probes": false, "RetryAfter": true},
+        "OverShareWorth": 0.1, "PeersTotal": draw.nodes.len(), "Shapes": ["std-2c"], "Stage": 0,
+        "Stages": ["lab"], "Tick": 5.0, "Weights": "silent", "Zones": draw.zones,
+    })
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -2,7 +2,7 @@
 //! list, links between zones, and the timeline of faults.
 //!
 //! Whoever drives it says what the nodes did ([`World::ask_ended`], [`World::attempt`] and so on), lets time pass
-//! with [`World::advance`], and carries out what [`World::take`] gives. On sockets that is a driver yet to come; in the
+//! with [`World::advance`], and carries out what [`World::take`] gives. On sockets that is [`crate::live`]; in the
 //! virtual clock [`crate::baseline`] plays the nodes, and a minute takes a fraction of a second. Messages carry
 //! the links' delays here, so a socket only has to bring them when they are due.
 //!
@@ -288,6 +288,9 @@
     got: Option<Got>,
     /// The client no longer waits for it.
     over: bool,
+    /// It was written to its node.
+    sent: bool,
+    /// Its client has closed the connection.
     left: bool,
 }
 
@@ -450,7 +453,7 @@
         match event {
             Ev::Arrive(n) => self.arrive(n),
             Ev::Retry(request) => self.start_try(request),
-            Ev::ToNode(ask) => self.out.push_back(Out::Ask(ask)),
+            Ev::ToNode(ask) => self.reaches_node(ask),
             Ev::Leaves(ask) => self.leaves(ask),
             Ev::GivesUp(ask) => self.gives_up(ask),
             Ev::Overdue(ask) => self.overdue(ask),
@@ -515,7 +518,17 @@
         let again = self.requests[request].tries > 0;
         self.requests[request].tries += 1;
         self.requests[request].current = Some(ask);
-        self.tries.push(Try { request, node, at: now, wait, again, got: None, over: false, left: false });
+        self.tries.push(Try {
+            request,
+            node,
+            at: now,
+            wait,
+            again,
+            got: None,
+            over: false,
+            sent: false,
+            left: false,
+        });
         self.referee.asked(node, class);
         self.tally.second(now).tries += 1;
         let there = now + self.jittered(draw.client_delay);
@@ -540,11 +553,26 @@
         nodes[self.turns[zone] % nodes.len()]
     }
 
+    fn reaches_node(&mut self, ask: usize) {
+        // Whoever leaves sooner than its request is there was never heard of.
+        if !self.tries[ask].left {
+            self.tries[ask].sent = true;
+            self.out.push_back(Out::Ask(ask));
+        }
+    }
+
+    /// The client closes its connection.
+    fn leave(&mut self, ask: usize) {
+        self.tries[ask].left = true;
+        if self.tries[ask].sent {
+            self.out.push_back(Out::Leave(ask));
+        }
+    }
+
     fn leaves(&mut self, ask: usize) {
         if self.tries[ask].got.is_none() && !self.tries[ask].over {
-            self.tries[ask].left = true;
             self.tries[ask].over = true;
-            self.out.push_back(Out::Leave(ask));
+            self.leave(ask);
             self.end(self.tries[ask].request, Some(End::Unanswered));
         }
     }
@@ -569,8 +597,7 @@
             let about = About { node: Some(t.node), server: None, request: Some(ask) };
             self.referee.note(Rule::Answer, self.now, about, "no final answer");
         }
-        self.tries[ask].left = true;
-        self.out.push_back(Out::Leave(ask));
+        self.leave(ask);
     }
 
     /// What a node is asked.
--- a/crates/stoneshift/src/main.rs
+++ b/crates/stoneshift/src/main.rs
@@ -1,2 +1,100 @@
-//! The command line.
-fn main() {}
+//! The command line: experiments on real nodes.
+//!
+//! Exit codes: 0 what must hold held, 1 it did not or the run does not count, 2 the call or a file is wrong.
+
+mod run;
+mod table;
+
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
+
+/// Tools round the load-balancing node.
+#[derive(Debug, Parser)]
+#[command(
+    name = "stoneshift",
+    version,
+    after_help = "Exit codes: 0 held, 1 did not hold, 2 usage or configuration."
+)]
+struct Cli {
+    /// How log lines look.
+    #[arg(long, global = true, value_enum, default_value_t = Form::Text)]
+    log_format: Form,
+    /// Which log lines are written: error, warn, info, debug or trace.
+    #[arg(long, global = true, default_value = "warn")]
+    log_level: tracing_subscriber::filter::LevelFilter,
+    #[command(subcommand)]
+    command: Command,
+}
+
+/// The form of log lines.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Form {
+    /// key=value.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// The fleet lab: real nodes between emulated parties.
+    Lab {
+        #[command(subcommand)]
+        command: Lab,
+    },
+    /// Writes a shell's completions to standard output.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+enum Lab {
+    /// Plays an experiment and says whether what must hold did.
+    Run(run::Run),
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let log = tracing_subscriber::fmt().with_writer(io::stderr).with_max_level(cli.log_level);
+    match cli.log_format {
+        Form::Text => log.init(),
+        Form::Json => log.json().init(),
+    }
+    let done = match cli.command {
+        Command::Lab { command: Lab::Run(run) } => run.play(),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Cli::command(), "stoneshift", &mut io::stdout());
+            Ok(true)
+        }
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(words) => {
+            eprintln!("stoneshift: {}", words.replace('\n', " "));
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// The node's program: what was named, or the one beside this program.
+fn node_program(named: Option<PathBuf>) -> Result<PathBuf, String> {
+    let program = match named {
+        Some(path) => path,
+        None => {
+            let own = std::env::current_exe().map_err(|e| format!("own program: {e}"))?;
+            own.with_file_name("glenwood")
+        }
+    };
+    if program.is_file() {
+        Ok(program)
+    } else {
+        Err(format!("--node: {} is not there; build it with `cargo build --release`", program.display()))
+    }
+}
--- /dev/null
+++ b/crates/stoneshift/src/table.rs
@@ -0,0 +1,101 @@
+//! A result as a table for the terminal.
+
+use std::fmt::Write;
+
+use lab::result::{RunResult, Service};
+
+/// Breaches that are shown in words.
+const SHOWN: usize = 10;
+
+/// The table.
+pub fn of(result: &RunResult) -> String {
+    let mut text = String::new();
+    // A string takes all that is written to it.
+    let _ = write(&mut text, result);
+    text
+}
+
+fn write(out: &mut String, r: &RunResult) -> std::fmt::Result {
+    writeln!(out, "\n{:<14}{:>8}{:>13}{:>14}{:>8}", "", "served", "worst class", "worst window", "G")?;
+    let mut row = |name: &str, s: &Service| {
+        let Service { served, worst_class, worst_window, g } = s;
+        writeln!(out, "{name:<14}{served:>8.3}{worst_class:>13.3}{worst_window:>14.3}{g:>8.3}")
+    };
+    row("node", &r.service)?;
+    row("random", &r.baselines.random)?;
+    row("oracle", &r.baselines.oracle)?;
+    writeln!(
+        out,
+        "\n{:<14}{:>9}{:>9}{:>7}{:>9}{:>8}{:>12}{:>9}{:>9}{:>9}",
+        "class",
+        "requests",
+        "in time",
+        "late",
+        "refused",
+        "failed",
+        "unanswered",
+        "p50 ms",
+        "p90 ms",
+        "p99 ms"
+    )?;
+    for class in &r.classes {
+        let (e, t) = (class.ends, class.took_ms);
+        writeln!(
+            out,
+            "{:<14}{:>9}{:>9}{:>7}{:>9}{:>8}{:>12}{:>9.1}{:>9.1}{:>9.1}",
+            class.name,
+            class.requests,
+            e.in_time,
+            e.late,
+            e.refused,
+            e.failed,
+            e.unanswered,
+            t.p50,
+            t.p90,
+            t.p99
+        )?;
+    }
+    let c = &r.cost;
+    writeln!(
+        out,
+        "\nfor each first try: {:.3} tries, {:.3} attempts, {:.4} new connections, {:.3} crossing zones",
+        c.tries, c.attempts, c.connections, c.cross_zone
+    )?;
+    writeln!(
+        out,
+        "turned away {:.4} of attempts; wasted work {:.3}; failed only late {:.3}; choked servers {:.2}",
+        c.turned_away, c.wasted, c.failed_late, c.overdriven
+    )?;
+    writeln!(
+        out,
+        "a node held {:.1} MiB and {} descriptors at most; {} answers overdue",
+        c.node_memory_mb, c.node_descriptors, c.overdue
+    )?;
+    for fault in &r.faults {
+        let back =
+            fault.recover_s.map_or("not back before the end".to_string(), |s| format!("back after {s:.0} s"));
+        writeln!(
+            out,
+            "fault {} from {:.1} to {:.1} s on {}: {back}",
+            fault.kind, fault.at_s, fault.until_s, fault.targets
+        )?;
+    }
+    let l = &r.lab;
+    writeln!(
+        out,
+        "the lab: late by {:.2} ms at p50, {:.2} at p99, {:.2} at most; {:.2} of a core; {:.0} messages a second",
+        l.late_ms.p50, l.late_ms.p99, l.late_ms.max, l.busy, l.messages_per_s
+    )?;
+    for breach in r.broken.iter().take(SHOWN) {
+        writeln!(out, "{breach}")?;
+    }
+    if r.breaches > SHOWN {
+        writeln!(out, "and {} further breaches", r.breaches - SHOWN)?;
+    }
+    for held in &r.held {
+        let got = held.got.map_or("unknown".to_string(), |got| format!("{got:.3}"));
+        let word = if held.held { "held" } else { "DID NOT HOLD" };
+        writeln!(out, "hold {} {:.3}: {got} {word}", held.key, held.wanted)?;
+    }
+    writeln!(out, "verdict: {}", r.verdict)
+}
--- /dev/null
+++ b/crates/stoneshift/tests/lab.rs
@@ -0,0 +1,94 @@
+//! The command line on real processes: short experiments, and what can't be played.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use serde_json::Value;
+
+fn program() -> PathBuf {
+    env!("CARGO_BIN_EXE_stoneshift").into()
+}
+
+/// Plays an experiment's text; what the program said, and its result where it wrote one.
+fn play(text: &str, more: &[&str]) -> (Output, Option<Value>) {
+    let node = program().with_file_name("glenwood");
+    assert!(node.is_file(), "the node is built with the workspace: cargo test --workspace");
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("x.toml");
+    std::fs::write(&file, format!("schema = 1\nname = \"x\"\n{text}")).expect("a file");
+    let out = folder.path().join("out");
+    let output = run(&file, &out, more);
+    let result = std::fs::read_to_string(out.join("result.json")).ok();
+    (output, result.map(|text| serde_json::from_str(&text).expect("JSON")))
+}
+
+fn run(file: &Path, out: &Path, more: &[&str]) -> Output {
+    let mut command = Command::new(program());
+    command.args(["lab", "run"]).arg(file).arg("--out").arg(out).args(more);
+    command.output().expect("it runs")
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// A fleet that is small enough for busy cores.
+const SMALL: &str = "[fleet]\nservers = 6\n[load]\nof_capacity = 0.3\n[hold]\nserved = 0.5\n";
+
+#[test]
+fn a_calm_fleet_is_served_and_keeps_the_rules() {
+    let (output, result) = play(&format!("length_s = 4\n{SMALL}"), &["--seed", "5"]);
+    let result = result.expect("written");
+    assert_eq!(result["broken"], serde_json::json!([]), "{}", String::from_utf8_lossy(&output.stdout));
+    assert!(result["service"]["served"].as_f64().expect("a share") > 0.5);
+    assert!(result["cost"]["requests"].as_u64() > Some(100));
+    assert_eq!(result["seed"], 5);
+}
+
+#[test]
+fn killed_nodes_come_back_and_a_drained_server_gets_nothing() {
+    let faults = "[[fault]]\nkind = \"kill\"\nat_s = 1\nfor_s = 1\nids = [0]\n\
+        [[fault]]\nkind = \"release\"\nat_s = 1\nfor_s = 1\nids = [1]\n";
+    let quick = "[discovery]\nnotice_s = 0.5\nadd_s = 0.3\n";
+    let (output, result) = play(&format!("length_s = 7\n{SMALL}{faults}{quick}"), &[]);
+    let result = result.expect("written");
+    assert_eq!(result["broken"], serde_json::json!([]), "{}", String::from_utf8_lossy(&output.stdout));
+    assert_eq!(result["faults"][0]["targets"], 1);
+}
+
+#[test]
+fn what_must_hold_and_does_not_is_told_by_the_exit_code() {
+    let text = "length_s = 2\n[fleet]\nservers = 4\n[load]\nof_capacity = 0.2\n[hold]\nserved = 1.01\n";
+    let (output, result) = play(text, &[]);
+    assert_eq!(output.status.code(), Some(1));
+    assert_eq!(result.expect("written")["held"][0]["held"], false);
+    assert!(String::from_utf8_lossy(&output.stdout).contains("DID NOT HOLD"));
+}
+
+#[test]
+fn what_can_t_be_played_is_one_line_and_exit_code_2() {
+    let (output, result) = play("length_s = 2\n[fleet]\nnods = 3\n", &[]);
+    assert_eq!((output.status.code(), result.is_none()), (Some(2), true));
+    let words = said(&output);
+    assert!(words.contains("x.toml:5: unknown field `nods`") && words.lines().count() == 1, "{words}");
+
+    let (output, _) = play("length_s = 2\n", &["--node", "/nowhere/glenwood"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(said(&output).contains("--node: /nowhere/glenwood is not there"));
+}
+
+#[test]
+fn a_node_that_ends_at_once_or_never_gets_ready_is_named() {
+    let (output, _) = play("length_s = 2\n", &["--node", "/bin/false"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(said(&output).contains("could not be started: it ended at once"), "{}", said(&output));
+
+    let folder = tempfile::tempdir().expect("a folder");
+    let mute = folder.path().join("mute");
+    std::fs::write(&mute, "#!/bin/sh\nexec sleep 60\n").expect("a file");
+    std::fs::set_permissions(&mute, std::os::unix::fs::PermissionsExt::from_mode(0o755)).expect("a file");
+    let mute = mute.to_str().expect("text");
+    let (output, _) = play("length_s = 2\n[node]\nready_s = 0.5\n", &["--node", mute]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(said(&output).contains("was not ready within 0.5 s"), "{}", said(&output));
+}
