Let the lab's oracle keep servers from being crowded

It filled each server up to the aim, which is more than crowding stands, so all were choked. It passes over a server that one more request would crowd.

--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -22,7 +22,8 @@
 pub enum Policy {
     /// Any of the listed servers, with up to five attempts.
     Random,
-    /// The server that will be done first by its true state; refused at once where none can be in time.
+    /// The server that will be done first by its true state; refused at once where none can be in time without being
+    /// crowded.
     Oracle,
 }
 
--- a/crates/lab/src/world/figures.rs
+++ b/crates/lab/src/world/figures.rs
@@ -48,10 +48,14 @@
         (count, named.collect())
     }
 
-    /// True capacity and backlog of a server, for a policy that sees them; `None` where it is not up.
+    /// True capacity and backlog of a server, for a policy that sees them; `None` where it is not up, or where one more
+    /// request would begin to crowd it.
     pub fn truth(&self, server: usize) -> Option<(f64, f64)> {
         let place = self.servers.get(server).filter(|p| p.power == Power::Up)?;
-        Some((place.model.capacity(self.now), place.model.backlog()))
+        let figures = &place.spec.figures;
+        let crowded =
+            (place.model.held() + 1) as f64 > figures.choke.at.min(figures.thrash_at) * figures.cores as f64;
+        (!crowded).then(|| (place.model.capacity(self.now), place.model.backlog()))
     }
 
     /// The servers that a node's agent has listed as in service.
