Let the lab's list fall behind and lines overtake, and send silent crowds

Need: the scripted discovery knew delay, silence and outage, not versions that go back, and hard cases wanted a thousand idle connections. Shape: three kinds of fault, `stale-list` (watches end, and the list tells what it knew some versions ago), `reordered-list` (each second line overtakes the one before), `crowd` (connections that never say a word). Ctrl-C is tested: nodes end, the result is written and marked.

A thousand silent strangers: no rule broken.

--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -136,7 +136,12 @@
                 self.down.remove(&node);
                 self.world.node_ready(now, node);
             }
-            Out::Signal(..) | Out::Reach { .. } | Out::Drop(_) | Out::Silence(_) => {}
+            Out::Crowd { .. }
+            | Out::Signal(..)
+            | Out::Reach { .. }
+            | Out::Drop(_)
+            | Out::EndWatches(_)
+            | Out::Silence(_) => {}
         }
     }
 
--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -242,8 +242,12 @@
     fn fault(&self, fault: &Fault, rng: &mut Pcg64) -> FaultSpec {
         let zone = fault.zone.as_ref().and_then(|z| self.zones.iter().position(|name| name == z));
         let parties: Vec<usize> = match fault.kind {
-            Trouble::Kill | Trouble::Restart | Trouble::Stop => self.nodes.clone(),
-            Trouble::Cut | Trouble::ListOutage | Trouble::Burst => Vec::new(),
+            Trouble::Kill | Trouble::Restart | Trouble::Stop | Trouble::Crowd => self.nodes.clone(),
+            Trouble::Cut
+            | Trouble::ListOutage
+            | Trouble::StaleList
+            | Trouble::ReorderedList
+            | Trouble::Burst => Vec::new(),
             _ => self.servers.iter().map(|s| s.zone).collect(),
         };
         let mut targets: Vec<usize> =
--- a/crates/lab/src/live/agent.rs
+++ b/crates/lab/src/live/agent.rs
@@ -31,8 +31,6 @@
 
 struct Watch {
     lines: Sender<Bytes, Infallible>,
-    /// The version that it has.
-    version: u64,
 }
 
 type Answer = Response<UnsyncBoxBody<Bytes, Infallible>>;
@@ -84,9 +82,11 @@
         return Ok(plain(StatusCode::OK, line));
     };
     let (lines, body) = Channel::new(LINES);
-    let mut watch = Watch { lines, version: if from <= version { from } else { 0 } };
-    watch.tell(stage, node, version);
-    stage.agents[node].watches.borrow_mut().push(watch);
+    let mut watch = Watch { lines };
+    // One from the future, as from before the list fell behind, gets the whole list.
+    if from == version || watch.tell(stage, node, if from < version { from } else { 0 }, version) {
+        stage.agents[node].watches.borrow_mut().push(watch);
+    }
     Ok(Response::new(body.boxed_unsync()))
 }
 
@@ -104,27 +104,28 @@
 }
 
 impl Watch {
-    /// Brings it to a version; false where it has ended.
-    fn tell(&mut self, stage: &Rc<Stage>, node: usize, version: u64) -> bool {
-        if version <= self.version {
-            return true;
-        }
-        let said = self.lines.try_send(Frame::data(line(stage, node, self.version, version))).is_ok();
+    /// Says the line that brings a node from one version to another; false where the watch has ended.
+    fn tell(&mut self, stage: &Rc<Stage>, node: usize, from: u64, to: u64) -> bool {
+        let said = self.lines.try_send(Frame::data(line(stage, node, from, to))).is_ok();
         if said {
-            self.version = version;
-            stage.with(|world, now| world.told(now, node, version));
+            stage.with(|world, now| world.told(now, node, to));
         }
         said
     }
 }
 
-/// A node's agent has a version: its watches bring it.
-pub fn tell(stage: &Rc<Stage>, node: usize, version: u64) {
+/// A node's agent has a line: its watches bring it.
+pub fn tell(stage: &Rc<Stage>, node: usize, from: u64, to: u64) {
     let mut watches = std::mem::take(&mut *stage.agents[node].watches.borrow_mut());
-    watches.retain_mut(|watch| watch.tell(stage, node, version));
+    watches.retain_mut(|watch| watch.tell(stage, node, from, to));
     stage.agents[node].watches.borrow_mut().append(&mut watches);
 }
 
+/// A node's watches end.
+pub fn end_watches(stage: &Stage, node: usize) {
+    stage.agents[node].watches.borrow_mut().clear();
+}
+
 /// Says now and then that there is nothing new.
 async fn quiet(stage: Rc<Stage>, node: usize) {
     loop {
--- a/crates/lab/src/live/clients.rs
+++ b/crates/lab/src/live/clients.rs
@@ -137,3 +137,16 @@
     }
     request
 }
+
+/// Strangers that connect and say nothing; those that the node closes do not come again.
+pub async fn crowd(node: SocketAddr, count: usize, stay: Duration) {
+    let mut held = Vec::new();
+    for _ in 0..count {
+        // A node that takes no more is a node that looks after itself.
+        if let Ok(Ok(stream)) = tokio::time::timeout(CONNECT, TcpStream::connect(node)).await {
+            held.push(stream);
+        }
+    }
+    tokio::time::sleep(stay).await;
+    drop(held);
+}
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -244,9 +244,14 @@
                     }
                 }
                 Out::Drop(server) => self.doors.drop_connections(server),
-                Out::Tell { node, to, .. } => agent::tell(self, node, to),
+                Out::Tell { node, from, to } => agent::tell(self, node, from, to),
+                Out::EndWatches(node) => agent::end_watches(self, node),
                 // Agents look at the world before they speak.
                 Out::Silence(_) => {}
+                Out::Crowd { node, count, until } => {
+                    let stay = Duration::from_micros(until.saturating_sub(self.now()));
+                    drop(spawn_local(clients::crowd(self.addresses.node(node), count, stay)));
+                }
                 Out::Signal(node, signal) => {
                     if let Some(id) = self.nodes[node].id.get() {
                         process::signal(id, signal);
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -17,6 +17,8 @@
 pub const NODES_MOST: usize = 400;
 /// The most servers that are listed at a time.
 pub const SERVERS_MOST: usize = 400;
+/// The most silent connections to one node.
+pub const CROWD_MOST: f64 = 5000.0;
 /// The longest play, in seconds.
 pub const LENGTH_MOST: f64 = 3600.0;
 
@@ -444,6 +446,8 @@
     Restart,
     /// Nodes stand still for `for_s`.
     Stop,
+    /// `factor` connections to each node that never say a word, for `for_s`.
+    Crowd,
     /// App servers vanish without a word for `for_s` and come back cold.
     Lose,
     /// App servers end at once, resetting what they had, and come back cold after `for_s`.
@@ -466,6 +470,10 @@
     Cut,
     /// The list is silent.
     ListOutage,
+    /// The list ends its watches and knows only what it knew `factor` versions ago; then it has all again.
+    StaleList,
+    /// Each second line of the list overtakes the one before.
+    ReorderedList,
     /// Load grows by `factor`.
     Burst,
 }
@@ -697,13 +705,20 @@
         if fault.garbled.is_some_and(|s| !(0.0..=1.0).contains(&s)) {
             return fail("garbled: a share from 0 to 1 expected".into());
         }
-        let of_nodes = matches!(fault.kind, Trouble::Kill | Trouble::Restart | Trouble::Stop);
+        let of_nodes =
+            matches!(fault.kind, Trouble::Kill | Trouble::Restart | Trouble::Stop | Trouble::Crowd);
         let most = if of_nodes { fleet.nodes } else { fleet.servers }.bounds().0 as usize;
         if let Some(id) = fault.ids.iter().flatten().find(|id| **id >= most) {
             return fail(format!("ids: {id} is not there; they count from 0 to {}", most - 1));
         }
         match fault.kind {
             Trouble::Cut if fault.zone.is_none() => fail("zone is missing".into()),
+            Trouble::Crowd if !fault.factor.is_some_and(|f| (1.0..=CROWD_MOST).contains(&f)) => {
+                fail(format!("factor: 1 to {CROWD_MOST} connections expected"))
+            }
+            Trouble::StaleList if !fault.factor.is_some_and(|f| f >= 1.0 && f.fract() == 0.0) => {
+                fail("factor: a whole number of versions expected, 1 at least".into())
+            }
             Trouble::Slow | Trouble::Burst if !fault.factor.is_some_and(|f| f > 0.0 && f <= 1000.0) => {
                 fail("factor: a figure above 0 expected".into())
             }
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -21,6 +21,10 @@
                     self.out.push_back(Out::Signal(*node, Signal::Stop));
                 }
             }
+            Trouble::Crowd => {
+                let (count, until) = (fault.factor as usize, fault.until);
+                self.out.extend(fault.targets.iter().map(|node| Out::Crowd { node: *node, count, until }));
+            }
             Trouble::Lose => {
                 for server in &fault.targets {
                     self.settle(*server);
@@ -42,6 +46,8 @@
             }
             Trouble::Cut => self.cut(fault, true),
             Trouble::ListOutage => self.silence(true),
+            Trouble::StaleList => self.fall_behind(fault.factor as u64),
+            Trouble::ReorderedList => self.reorder(true),
             // Drawn with the arrivals.
             Trouble::Burst => {}
         }
@@ -61,7 +67,9 @@
             Trouble::Neighbour => self.burden(fault, |place| place.taken = 0.0),
             Trouble::Cut => self.cut(fault, false),
             Trouble::ListOutage => self.silence(false),
-            Trouble::Restart | Trouble::Release | Trouble::Replace | Trouble::Burst => {}
+            Trouble::StaleList => self.fall_behind(0),
+            Trouble::ReorderedList => self.reorder(false),
+            Trouble::Restart | Trouble::Crowd | Trouble::Release | Trouble::Replace | Trouble::Burst => {}
         }
     }
 
--- a/crates/lab/src/world/list.rs
+++ b/crates/lab/src/world/list.rs
@@ -39,12 +39,47 @@
         }
         self.nodes[node].version = version;
         self.referee.has(self.now, node, version);
-        self.out.push_back(Out::Tell { node, from, to: version });
+        if self.behind > 0 {
+            return;
+        }
+        match self.nodes[node].overtaken.take() {
+            Some(before) => {
+                self.out.push_back(Out::Tell { node, from, to: version });
+                self.out.push_back(Out::Tell { node, from: before, to: from });
+            }
+            None if self.reordered => self.nodes[node].overtaken = Some(from),
+            None => self.out.push_back(Out::Tell { node, from, to: version }),
+        }
     }
 
-    /// The version that a node's agent has.
+    /// The version that a node's agent tells whoever asks.
     pub fn version(&self, node: usize) -> u64 {
-        self.nodes[node].version
+        self.nodes[node].version.saturating_sub(self.behind).max(1)
+    }
+
+    /// The list falls behind what it knew, and catches up.
+    pub(super) fn fall_behind(&mut self, versions: u64) {
+        let before = std::mem::replace(&mut self.behind, versions);
+        for node in 0..self.nodes.len() {
+            let version = self.nodes[node].version;
+            let from = version.saturating_sub(before).max(1);
+            self.out.push_back(if versions > 0 {
+                Out::EndWatches(node)
+            } else {
+                Out::Tell { node, from, to: version }
+            });
+        }
+    }
+
+    /// Lines begin to overtake each other, or no longer do; none is left behind.
+    pub(super) fn reorder(&mut self, on: bool) {
+        self.reordered = on;
+        for node in 0..self.nodes.len() {
+            if let Some(before) = self.nodes[node].overtaken.take() {
+                let to = self.nodes[node].version;
+                self.out.push_back(Out::Tell { node, from: before, to });
+            }
+        }
     }
 
     /// Is the list silent?
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -79,7 +79,7 @@
     },
     /// All connections to a server end.
     Drop(usize),
-    /// A node's agent has a version of the list.
+    /// A node's agent has a line for its watches.
     Tell {
         /// The node.
         node: usize,
@@ -88,8 +88,19 @@
         /// The version.
         to: u64,
     },
+    /// The watches at a node's agent end.
+    EndWatches(usize),
     /// The list falls silent, or speaks again.
     Silence(bool),
+    /// So many strangers connect to a node and say nothing, until that time.
+    Crowd {
+        /// The node.
+        node: usize,
+        /// How many.
+        count: usize,
+        /// Until when they stay.
+        until: Us,
+    },
     /// A signal to a node.
     Signal(usize, Signal),
     /// A node is started anew.
@@ -274,6 +285,8 @@
     away: Vec<(Us, Us)>,
     /// The version that its agent has.
     version: u64,
+    /// The newest line waits to be overtaken; it brings the node on from this version.
+    overtaken: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -345,6 +358,9 @@
     attempts: Vec<Attempt>,
     list: List,
     silent: bool,
+    /// By how many versions the list tells less than it knew.
+    behind: u64,
+    reordered: bool,
     cuts: Vec<Vec<u32>>,
     referee: Referee,
     tally: Tally,
@@ -365,6 +381,7 @@
             restart: false,
             away: Vec::new(),
             version: 1,
+            overtaken: None,
         });
         let zones = draw.zones.len();
         let mut world = Self {
@@ -383,6 +400,8 @@
             attempts: Vec::new(),
             list: List::new(entries),
             silent: false,
+            behind: 0,
+            reordered: false,
             cuts: vec![vec![0; zones]; zones],
             referee: Referee::new(rules, draw.nodes.len()),
             tally: Tally::new(draw.classes.len()),
--- a/crates/stoneshift/tests/lab.rs
+++ b/crates/stoneshift/tests/lab.rs
@@ -1,7 +1,7 @@
 //! The command line on real processes: short experiments, and what can't be played.
 
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 use serde_json::Value;
 
@@ -92,3 +92,45 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(said(&output).contains("was not ready within 0.5 s"), "{}", said(&output));
 }
+
+#[test]
+fn a_thousand_silent_strangers_keep_nobody_out() {
+    let crowd = "[[fault]]\nkind = \"crowd\"\nat_s = 1\nfor_s = 2\nids = [0]\nfactor = 1000\n";
+    let (output, result) = play(&format!("length_s = 4\n{SMALL}{crowd}"), &[]);
+    let result = result.expect("written");
+    assert_eq!(result["broken"], serde_json::json!([]), "{}", String::from_utf8_lossy(&output.stdout));
+    assert!(result["service"]["served"].as_f64().expect("a share") > 0.5);
+}
+
+#[test]
+fn a_run_that_is_broken_off_ends_its_nodes_and_writes_what_it_has() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (file, out) = (folder.path().join("x.toml"), folder.path().join("out"));
+    std::fs::write(&file, format!("schema = 1\nname = \"x\"\nlength_s = 600\n{SMALL}")).expect("a file");
+    let mut command = Command::new(program());
+    command.args(["lab", "run"]).arg(&file).arg("--out").arg(&out).stdout(Stdio::null());
+    let mut lab = command.spawn().expect("it starts");
+    let log = || std::fs::read_to_string(out.join("logs/n0.log")).unwrap_or_default();
+    // Clients come once the run has begun, and the node logs how many.
+    let served = |line: &str| line.split_once(" clients, ").is_some_and(|(count, _)| count != "0");
+    until(|| log().lines().any(served));
+    let interrupted = Command::new("kill").arg("-INT").arg(lab.id().to_string()).status();
+    assert!(interrupted.expect("kill runs").success());
+    assert_eq!(lab.wait().expect("a child").code(), Some(1));
+    let result: Value =
+        serde_json::from_str(&std::fs::read_to_string(out.join("result.json")).expect("written"))
+            .expect("JSON");
+    assert_eq!(result["verdict"], "interrupted");
+    let address =
+        log().lines().find_map(|l| Some(l.split_once(" listens at ")?.1.to_string())).expect("logged");
+    assert!(std::net::TcpStream::connect(address).is_err(), "the node has ended");
+}
+
+/// Waits until it holds, far longer than it takes.
+fn until(holds: impl Fn() -> bool) {
+    let start = std::time::Instant::now();
+    while !holds() {
+        assert!(start.elapsed().as_secs() < 60, "waited in vain");
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+}
