Drop repeats of a keyed request at the lab's servers

Cause: the model ran a keyed repeat as if it were new, where the agency's servers drop one for 5 s. A repeat that comes once the first has run costs 1 ms and gets what the first got; one that comes while it still runs costs its work, as nothing tells the other server sooner. Measured: a unit test, keyed 1 ms and safe its work.

--- a/crates/lab/src/world/attempts.rs
+++ b/crates/lab/src/world/attempts.rs
@@ -94,7 +94,11 @@
         if self.chance.random::<f64>() < fails {
             return self.answer(attempt, self.now, Reply::Error);
         }
-        let work = self.draw.arrivals[self.tries[self.attempts[attempt].of].request].work;
+        let request = self.tries[self.attempts[attempt].of].request;
+        let known = self.requests[request].kept.is_some_and(|until| self.now < until);
+        let work = self.draw.arrivals[request].work;
+        // A repeat is dropped: it gets what the first one got.
+        let work = if known { work.min(REPEAT) } else { work };
         match place.model.arrive(attempt as u64, work, told) {
             Arrived::Taken => self.attempts[attempt].stage = Stage::Held,
             Arrived::TurnedAway => {
@@ -159,6 +163,7 @@
             self.tally.choked.insert(server);
         }
         for (attempt, at) in ended {
+            self.keep(attempt as usize, at);
             let place = &self.servers[server];
             let (late, by, garbled) = place.gray;
             let chance: f64 = self.chance.random();
@@ -174,6 +179,15 @@
         }
     }
 
+    /// A keyed request has run: its repeats are dropped for a while, by all servers.
+    fn keep(&mut self, attempt: usize, at: Us) {
+        let request = self.tries[self.attempts[attempt].of].request;
+        let class = &self.draw.classes[self.draw.arrivals[request].class];
+        if class.effect == Effect::Keyed {
+            self.requests[request].kept.get_or_insert(at + class.window);
+        }
+    }
+
     pub(super) fn schedule(&mut self, server: usize) {
         let place = &mut self.servers[server];
         if place.power == Power::Off {
@@ -220,3 +234,54 @@
         (attempt < self.attempts.len() && self.body(attempt) == text).then_some(attempt)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::plan::Plan;
+
+    /// How long an attempt takes from now on, and what it gets.
+    fn play(world: &mut World, attempt: usize) -> (Us, Reply) {
+        let from = world.now();
+        while let Some(due) = world.next_due() {
+            world.advance(due);
+            while let Some(out) = world.take() {
+                match out {
+                    Out::Reply { attempt: a, reply } if a == attempt => return (due - from, reply),
+                    _ => {}
+                }
+            }
+        }
+        panic!("no reply")
+    }
+
+    #[test]
+    fn a_repeat_with_a_key_costs_next_to_nothing_at_any_server_and_one_without_costs_its_work() {
+        for (effect, dropped) in [("keyed", true), ("safe", false)] {
+            let class = format!(
+                "[[class]]\nname = \"c\"\nshare = 1\nwork_ms = 200\ndist = \"exp\"\naim_ms = 5000\ndeadline_ms = 9000\n\
+                worth = 1\neffect = \"{effect}\"\nwindow_ms = 5000\n"
+            );
+            let text = format!("schema = 1\nname = \"x\"\nlength_s = 20\n[load]\nper_s = 0.5\n{class}");
+            let plan = Plan::read("x.toml", &text).expect("it can be played");
+            let draw = Rc::new(Draw::new(&plan, 4));
+            let dial = Rc::new(|server, _| SocketAddr::from(([127, 0, 0, 1], server as u16)));
+            let mut world = World::new(draw, plan.rules, 0.0, dial);
+            let ask = loop {
+                let due = world.next_due().expect("a client comes");
+                world.advance(due);
+                if let Some(Out::Ask(ask)) = world.take() {
+                    break ask;
+                }
+            };
+            let txn = world.txn(ask);
+            let took = [0, 1].map(|server| {
+                let attempt = world.attempt(world.now(), server, 0, &txn, false).expect("a known request");
+                play(&mut world, attempt)
+            });
+            assert_eq!(took.map(|t| t.1), [Reply::Served; 2]);
+            assert!(took[0].0 > 20_000, "{effect}: {took:?}");
+            assert_eq!(took[1].0 < 6_000, dropped, "{effect}: {took:?}");
+        }
+    }
+}
--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -13,6 +13,7 @@
             tries: 0,
             current: None,
             ended: None,
+            kept: None,
             last: End::Unanswered,
             rng: Pcg64::seed_from_u64(arrival.chance),
         });
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -28,7 +28,7 @@
 
 use crate::draw::{ms, Draw, FaultSpec, ServerSpec};
 use crate::listing::{Entry, List};
-use crate::plan::{Rules, Trouble, Way};
+use crate::plan::{Effect, Rules, Trouble, Way};
 use crate::referee::{About, Breach, Referee, Rule};
 use crate::server::{Arrived, Server, Us};
 use crate::tally::{End, Tally};
@@ -49,6 +49,8 @@
 const DRAINS: Us = 2_500_000;
 /// A server that ended in order starts again after this.
 const STARTS: Us = 500_000;
+/// The work of a repeat that is dropped; one that comes while the first still runs costs its work again.
+const REPEAT: f64 = 1000.0;
 /// An answer's bytes, for the links that limit them.
 const ANSWER_BYTES: f64 = 400.0;
 /// A neighbour is on, or off, for between this and five times as long.
@@ -295,6 +297,8 @@
     /// The try that the client waits for.
     current: Option<usize>,
     ended: Option<End>,
+    /// It has run, and until then its repeats are dropped.
+    kept: Option<Us>,
     /// What its last try came to.
     last: End,
     rng: Pcg64,
