Take random numbers, hashing and the log's writer from libraries

Cause: SplitMix64, FNV-1a with a mix of our own, and a thread behind a channel were written by hand. rand_xoshiro's SplitMix64 gives the same sequence, seeded so that the cover table is the same too; XXH3 gives servers' numbers, the same at every node (only the order of the rotation differs from a node of the version before). tracing with a lossy non-blocking writer writes the lines as they were; dropped ones are counted, and the count is logged.

Tried and taken back: walks of the cover table seeded by the bare id.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,6 +7,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::SplitMix64;
+
 use crate::api::*;
 
 /// Consecutive failures that make a server an outlier, where a single one proves nothing.
@@ -67,7 +70,7 @@
 /// The decision module of one node.
 pub struct Balancer {
     set: Settings,
-    random: u64,
+    random: SplitMix64,
     now: Millis,
     servers: BTreeMap<ServerId, Server>,
     /// Those that operators have taken out, listed or not.
@@ -225,13 +228,6 @@
 /// The step of SplitMix64's walk.
 const GOLDEN: u64 = 0x9E37_79B9_7F4A_7C15;
 
-/// The mixing of SplitMix64.
-fn mix(mut z: u64) -> u64 {
-    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    z ^ (z >> 31)
-}
-
 impl Rate {
     fn new() -> Self {
         Self { per_s: 0.0, at: 0.0 }
@@ -330,7 +326,7 @@
         let quotas = settings.tenants.iter().map(|_| (0.0, f64::NEG_INFINITY)).collect();
         Ok(Self {
             set: settings,
-            random: seed,
+            random: SplitMix64::seed_from_u64(seed),
             now: 0.0,
             servers: BTreeMap::new(),
             disabled: BTreeSet::new(),
@@ -450,8 +446,7 @@
     }
 
     fn random(&mut self) -> f64 {
-        self.random = self.random.wrapping_add(GOLDEN);
-        (mix(self.random) >> 11) as f64 / (1u64 << 53) as f64
+        (self.random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
 
     // ---- The list of servers ----
@@ -595,16 +590,17 @@
             return members.to_vec();
         }
         let size = (SUBSET_LEAST * self.set.nodes).max(SUBSET_LEAST * members.len().next_power_of_two());
-        let mut walks: Vec<u64> = members.iter().map(|id| mix(id.0)).collect();
+        // Ids may be near each other: a walk begins at the mixed id, which is what a step onto the id gives.
+        let mixed = |id: &ServerId| SplitMix64::seed_from_u64(id.0.wrapping_sub(GOLDEN)).next_u64();
+        let mut walks: Vec<_> = members.iter().map(|id| SplitMix64::seed_from_u64(mixed(id))).collect();
         let mut table = vec![FREE; size];
         for filled in 0..size {
             let member = filled % members.len();
             let walk = &mut walks[member];
             let mut tries = 0;
             let free = loop {
-                *walk = walk.wrapping_add(GOLDEN);
                 tries += 1;
-                let place = mix(*walk) as usize % size;
+                let place = walk.next_u64() as usize % size;
                 // Not twice in what one node reads first, but where nothing else is left.
                 let block = place - place % SUBSET_LEAST;
                 let twice = table[block..block + SUBSET_LEAST].contains(&(member as u32));
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -15,6 +15,7 @@
 use tulipmount::{
     Action, Balancer, Discovery, Entry, Event, Listed, Millis, Outcome, RequestId, ServerId, SettingsError,
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::bans::{Bans, Change};
 use super::bodies::{Budget, Gathered};
@@ -156,13 +157,9 @@
     rearmed: Notify,
 }
 
-/// The same number for a name at every node and after every restart: FNV-1a, mixed so that names that differ
-/// in their last digit alone do not stay neighbours.
+/// The same number for a name at every node and after every restart.
 fn number_of(name: &str) -> u64 {
-    let hash =
-        name.bytes().fold(0xCBF2_9CE4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01B3));
-    let mixed = (hash ^ (hash >> 32)).wrapping_mul(0xD6E8_FEB8_6659_FD93);
-    mixed ^ (mixed >> 32)
+    xxh3_64(name.as_bytes())
 }
 
 impl Node {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -3,6 +3,7 @@
 mod peers;
 
 use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader};
 use std::net::TcpListener;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -655,6 +656,29 @@
 }
 
 /// A bad configuration ends the program with one line that names the field.
+#[test]
+fn a_log_that_nobody_reads_holds_up_no_request_and_tells_what_it_dropped() {
+    let refusing = Peer::new(|_| Say::This(answer(500, "", "")));
+    let registry = Registry::new(&[host("s0", refusing.address, "active", 0)]);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (node, log) = Node::unheard(&config(registry.address), &listener);
+    let mut client = Client::to(&node);
+    // Half a second's lines are 21 at most, and 256 may wait: they are passed in 6.5 s, or in less than 12 where the
+    // machine has half its time for this.
+    let start = Instant::now();
+    let mut asked = 0;
+    while start.elapsed() < Duration::from_secs(12) {
+        asked += 1;
+        let asking = Instant::now();
+        client.ask(&request("slip", &format!("t{asked}"), 5000));
+        assert!(asking.elapsed() < Duration::from_secs(2), "request {asked} was held up");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    log.set_read_timeout(Some(PATIENCE)).expect("a socket");
+    let mut lines = BufReader::new(log).lines().map_while(Result::ok);
+    assert!(lines.any(|line| line.contains("lines dropped so far")));
+}
+
 #[test]
 fn a_bad_configuration_names_the_field() {
     let good = config("127.0.0.1:1".parse().expect("an address"));
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -3,7 +3,8 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
+use std::os::fd::{AsRawFd, OwnedFd};
+use std::os::unix::net::UnixStream;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -431,6 +432,25 @@
         Self { child, file, address: address.expect("found"), log }
     }
 
+    /// Starts a node that inherits a listener and whose standard error is a socket that nobody reads, full already.
+    pub fn unheard(config: &Value, listener: &TcpListener) -> (Self, UnixStream) {
+        let (ours, theirs) = UnixStream::pair().expect("two sockets");
+        theirs.set_nonblocking(true).expect("a socket");
+        while (&theirs).write(&[b'x'; 1024]).is_ok() {}
+        theirs.set_nonblocking(false).expect("a socket");
+        SockRef::from(listener).set_cloexec(false).expect("a socket");
+        let (mut command, file) = command(config, None);
+        let child = command
+            .env("BALANCER_INHERITED_FD", listener.as_raw_fd().to_string())
+            .stderr(OwnedFd::from(theirs))
+            .spawn()
+            .expect("it starts");
+        let address = listener.local_addr().expect("bound");
+        let node = Self { child, file, address, log: Arc::default() };
+        node.wait_ready();
+        (node, ours)
+    }
+
     /// Starts a node and waits until it is ready.
     pub fn ready(config: &Value) -> Self {
         let node = Self::listening(config, None);
