Check every figure of an experiment's file where it is read

All figures are from 0 to 1,000,000 now, ranges have the least first, and a draw that is too large is told in one line.

--- a/crates/lab/src/live/clients.rs
+++ b/crates/lab/src/live/clients.rs
@@ -81,12 +81,9 @@
     let pool = stage.pool(ask);
     let Ok(_place) = pool.most.acquire().await else { return Got::NotTaken };
     if let Some(mut conn) = pool.idle() {
-        let answer = conn.send.send_request(request(stage, ask)).await;
-        match answer {
-            Ok(answer) => return hear(stage, &pool, conn, answer).await,
-            // A node may close a connection between requests: a request that crosses that goes out once more.
-            Err(error) if error.is_canceled() || error.is_closed() || error.is_incomplete_message() => {}
-            Err(_) => {}
+        // A node may close a connection between requests: a request that crosses that goes out once more.
+        if let Ok(answer) = conn.send.send_request(request(stage, ask)).await {
+            return hear(stage, &pool, conn, answer).await;
         }
     }
     let Some(mut conn) = pool.open().await else { return Got::NotTaken };
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -6,7 +6,8 @@
 use std::fmt;
 use std::path::Path;
 
-use serde::Deserialize;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
 use toml::Spanned;
 
 /// The version of the file's form.
@@ -22,9 +23,13 @@
 /// The longest play, in seconds.
 pub const LENGTH_MOST: f64 = 3600.0;
 
-/// A figure, or the bounds that a draw takes one from.
+/// The largest figure that a file may have, in whatever unit: beyond all that is sensible, and within all that clocks
+/// and counters can hold.
+const FIGURE_MOST: f64 = 1e6;
+
+/// A figure, or the bounds that a draw takes one from; from 0 to [`FIGURE_MOST`].
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
-#[serde(untagged, expecting = "a number or [least, most] expected")]
+#[serde(try_from = "Written")]
 pub enum Range {
     /// Always this.
     Fixed(f64),
@@ -32,16 +37,58 @@
     Between([f64; 2]),
 }
 
+/// A range as it is written.
+#[derive(Deserialize)]
+#[serde(untagged, expecting = "a number or [least, most] expected")]
+enum Written {
+    Fixed(f64),
+    Between([f64; 2]),
+}
+
+impl TryFrom<Written> for Range {
+    type Error = String;
+
+    fn try_from(written: Written) -> Result<Self, String> {
+        let (range, least, most) = match written {
+            Written::Fixed(v) => (Self::Fixed(v), v, v),
+            Written::Between([a, b]) => (Self::Between([a, b]), a, b),
+        };
+        sensible(least)?;
+        sensible(most)?;
+        if least > most {
+            return Err(format!("[{least}, {most}]: the least comes first"));
+        }
+        Ok(range)
+    }
+}
+
 impl Range {
     /// The least and the most.
     pub fn bounds(self) -> (f64, f64) {
         match self {
             Self::Fixed(v) => (v, v),
-            Self::Between([a, b]) => (a.min(b), a.max(b)),
+            Self::Between([least, most]) => (least, most),
         }
     }
 }
 
+/// A figure that can be played.
+fn sensible(figure: f64) -> Result<f64, String> {
+    if (0.0..=FIGURE_MOST).contains(&figure) {
+        Ok(figure)
+    } else {
+        Err(format!("{figure} is not within 0 and {FIGURE_MOST}"))
+    }
+}
+
+fn figure<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    sensible(f64::deserialize(from)?).map_err(D::Error::custom)
+}
+
+fn figure_or_none<'de, D: Deserializer<'de>>(from: D) -> Result<Option<f64>, D::Error> {
+    figure(from).map(Some)
+}
+
 /// An experiment.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -163,6 +210,7 @@
     /// The round trips of a new connection.
     pub handshake_trips: Range,
     /// A connection that is idle for so long is closed.
+    #[serde(deserialize_with = "figure")]
     pub idle_s: f64,
     /// Crowding: held requests for each core ...
     pub choke_at: Range,
@@ -260,6 +308,7 @@
     /// Its name, the first part of the path.
     pub name: String,
     /// Its share of the first tries.
+    #[serde(deserialize_with = "figure")]
     pub share: f64,
     /// Mean work, in ms.
     pub work_ms: Range,
@@ -269,15 +318,18 @@
     #[serde(default = "unit")]
     pub cv: Range,
     /// Wanted within.
+    #[serde(deserialize_with = "figure")]
     pub aim_ms: f64,
     /// Given up after, all tries together.
+    #[serde(deserialize_with = "figure")]
     pub deadline_ms: f64,
     /// Worth of an answer within the aim, for a unit of work.
+    #[serde(deserialize_with = "figure")]
     pub worth: f64,
     /// May it run again?
     pub effect: Effect,
     /// How long repeats are dropped, where it is keyed.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "figure")]
     pub window_ms: f64,
 }
 
@@ -316,6 +368,7 @@
     /// The share of clients that stay away for as long as a refusal says.
     pub honour: Range,
     /// The longest that they do.
+    #[serde(deserialize_with = "figure")]
     pub max_retry_after_ms: f64,
     /// The share of tries whose client leaves early.
     pub impatient: Range,
@@ -347,6 +400,7 @@
     /// Mean of the jitter, as a share of the delay.
     pub jitter: Range,
     /// Bytes a second that an answer between zones passes with; 0: no limit.
+    #[serde(deserialize_with = "figure")]
     pub bytes_per_s: f64,
 }
 
@@ -392,16 +446,21 @@
 #[serde(default, deny_unknown_fields)]
 pub struct Rules {
     /// Nothing new to a server later than this after its drain was told.
+    #[serde(deserialize_with = "figure")]
     pub drain_grace_ms: f64,
     /// A cold server falls over when sent more than this many times what it can do ...
+    #[serde(deserialize_with = "figure")]
     pub fall_multiple: f64,
     /// ... for this long.
+    #[serde(deserialize_with = "figure")]
     pub fall_ms: f64,
     /// Attempts at a request.
     pub attempts: usize,
     /// Every time limit on sockets is longer by this.
+    #[serde(deserialize_with = "figure")]
     pub slack_ms: f64,
     /// A final answer may come this much after its time.
+    #[serde(deserialize_with = "figure")]
     pub answer_slack_ms: f64,
 }
 
@@ -423,10 +482,12 @@
 #[serde(default, deny_unknown_fields)]
 pub struct NodeLimits {
     /// Resident memory.
+    #[serde(deserialize_with = "figure")]
     pub memory_mb: f64,
     /// Descriptors.
     pub sockets: u64,
     /// How long it may take until it is ready.
+    #[serde(deserialize_with = "figure")]
     pub ready_s: f64,
 }
 
@@ -485,9 +546,10 @@
     /// What happens.
     pub kind: Trouble,
     /// When, in seconds from the first client on.
+    #[serde(deserialize_with = "figure")]
     pub at_s: f64,
     /// For how long.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "figure")]
     pub for_s: f64,
     /// To whom: those of a zone ...
     pub zone: Option<String>,
@@ -496,12 +558,15 @@
     /// ... or certain ones, by number.
     pub ids: Option<Vec<usize>>,
     /// How strongly.
+    #[serde(default, deserialize_with = "figure_or_none")]
     pub factor: Option<f64>,
     /// In how many steps.
     pub steps: Option<usize>,
     /// How late a gray server answers.
+    #[serde(default, deserialize_with = "figure_or_none")]
     pub slower_ms: Option<f64>,
     /// The share of answers that break off.
+    #[serde(default, deserialize_with = "figure_or_none")]
     pub garbled: Option<f64>,
     /// Of a cut: only what goes `out` of the zone, or `in`to it; both where absent.
     pub way: Option<Way>,
@@ -758,6 +823,10 @@
         assert_eq!(fault("zone = \"nowhere\"\n"), "x.toml:4: fault cut: zone: nowhere is not in fleet.zones");
         assert_eq!(fault("for_s = 9\n"), "x.toml:4: fault cut: for_s: it ends after the 10 s of the run");
         assert!(words("[server]\ncores = 0\n").contains("server.cores"));
+        assert!(words("[server]\nspeed = inf\n").contains("x.toml:5: inf is not within 0 and 1000000"));
+        assert!(words("[server]\nspeed = [2, 1]\n").contains("the least comes first"));
+        assert!(words("[clients]\nmax_retry_after_ms = -1\n").contains("x.toml:5: -1 is not within"));
+        assert!(words("[server]\nspeed = \"fast\"\n").contains("a number or [least, most] expected"));
         assert!(words("[fleet]\nnodes = 4000\n").contains("fleet.nodes: 1 to 400"));
         assert!(words("[[fault]]\nkind = \"slow\"\nat_s = 1\n").contains("factor"));
         assert!(words("[[fault]]\nkind = \"stop\"\nids = [7]\nat_s = 1\n").contains("ids: 7 is not there"));
--- a/crates/stoneshift/src/run.rs
+++ b/crates/stoneshift/src/run.rs
@@ -6,7 +6,7 @@
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
 use lab::baseline::{self, Policy};
-use lab::draw::Draw;
+use lab::draw::{Draw, ARRIVALS_MOST};
 use lab::live::{self, Options};
 use lab::plan::Plan;
 use lab::plot;
@@ -45,6 +45,9 @@
             std::fs::remove_dir_all(&logs).map_err(|e| out("old logs", e))?;
         }
         let draw = Rc::new(Draw::new(&plan, self.seed.unwrap_or(plan.seed)));
+        if draw.arrivals.len() >= ARRIVALS_MOST {
+            return Err(format!("{}: load: more than {ARRIVALS_MOST} requests", self.file.display()));
+        }
         println!(
             "{}: seed {}, {} nodes, {} servers in {} zones, {} requests in {} s",
             plan.name,
