--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -25,7 +25,7 @@
 
 /// The largest figure that a file may have, in whatever unit: beyond all that is sensible, and within all that clocks
 /// and counters can hold.
-const FIGURE_MOST: f64 = 1e6;
+pub const FIGURE_MOST: f64 = 1e6;
 
 /// A figure, or the bounds that a draw takes one from; from 0 to [`FIGURE_MOST`].
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
