--- a/crates/lab/src/referee.rs
+++ b/crates/lab/src/referee.rs
@@ -151,6 +151,11 @@
         crate::draw::ms(self.rules.slack_ms)
     }
 
+    /// How long after its time a final answer may come.
+    pub fn answer_slack(&self) -> Us {
+        crate::draw::ms(self.rules.answer_slack_ms) + self.slack()
+    }
+
     /// Notes a breach.
     pub fn note(&mut self, rule: Rule, at: Us, about: About, words: impl Into<String>) {
         self.count += 1;
@@ -263,12 +268,6 @@
             self.note(Rule::Repeat, now, about, "refused though it may have run");
         }
     }
-
-    /// The node of a try, and whether the try was answered.
-    pub fn fate(&self, request: usize) -> (usize, bool) {
-        let asked = &self.asked[request];
-        (asked.node, asked.answered.is_some())
-    }
 }
 
 #[cfg(test)]
--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -114,9 +114,7 @@
         if t.got.is_some() || t.left {
             return;
         }
-        let (from, to) = (t.at, self.now);
-        let late = self.nodes[t.node].terminated.is_some_and(|at| from > at + KILL_AFTER);
-        if !late && !self.nodes[t.node].was_away(from, to) {
+        if !self.nodes[t.node].excused(t.at, self.now) {
             let about = About { node: Some(t.node), server: None, request: Some(ask) };
             self.referee.note(Rule::Answer, self.now, about, "no final answer");
         }
@@ -156,13 +154,12 @@
                 };
                 let genuine = attempt.is_some_and(served);
                 self.referee.answered(now, ask, status, genuine);
-                if now > due + ms(70.0) {
+                if now > due + self.referee.answer_slack() {
                     self.tally.overdue += 1;
                 }
             }
             Got::Broken { begun: false } => {
-                let late = self.nodes[node].terminated.is_some_and(|at| from > at + KILL_AFTER);
-                if !late && !self.nodes[node].was_away(from, now) {
+                if !self.nodes[node].excused(from, now) {
                     self.tally.closed += 1;
                     if self.tally.closed * CLOSED_ONE_IN > self.draw.arrivals.len() as u64 {
                         let about = About { node: Some(node), server: None, request: Some(ask) };
--- a/crates/lab/src/world/figures.rs
+++ b/crates/lab/src/world/figures.rs
@@ -26,12 +26,7 @@
 
     /// The share of servers that were choked by crowding.
     pub fn overdriven(&self) -> f64 {
-        self.tally.choked.len() as f64 / self.first_servers as f64
-    }
-
-    /// The name of a server.
-    pub fn server_name(&self, server: usize) -> String {
-        name_of(&self.draw, server)
+        self.tally.choked.len() as f64 / self.draw.servers.len() as f64
     }
 
     /// How many rules were broken, and the first of them with names.
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -26,7 +26,7 @@
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64;
 
-use crate::draw::{ms, Draw, FaultSpec, ServerSpec};
+use crate::draw::{Draw, FaultSpec, ServerSpec};
 use crate::listing::{Entry, List};
 use crate::plan::{Effect, Rules, Trouble, Way};
 use crate::referee::{About, Breach, Referee, Rule};
@@ -386,7 +386,6 @@
     links: Vec<Vec<Link>>,
     referee: Referee,
     tally: Tally,
-    first_servers: usize,
 }
 
 impl World {
@@ -427,7 +426,6 @@
             links: vec![vec![Link::default(); zones]; zones],
             referee: Referee::new(rules, draw.nodes.len()),
             tally: Tally::new(draw.classes.len()),
-            first_servers: servers.len(),
             servers,
             draw,
         };
@@ -548,9 +546,12 @@
 }
 
 impl Node {
-    /// Was it killed, started or stopped within a span, or shortly before it?
-    fn was_away(&self, from: Us, to: Us) -> bool {
-        !self.running || self.away.iter().any(|(a, b)| *a <= to && *b + LOST_AFTER >= from)
+    /// Need it not answer what came in a span? It was killed, started or stopped then or shortly before, or had been
+    /// told to end for long.
+    fn excused(&self, from: Us, to: Us) -> bool {
+        let away = |(a, b): &(Us, Us)| *a <= to && *b + LOST_AFTER >= from;
+        let told = self.terminated.is_some_and(|at| from > at + KILL_AFTER);
+        !self.running || told || self.away.iter().any(away)
     }
 }
 
