Reread the lab's world: one end of a process, no state that nobody reads

Found on reading the whole change: a server's process ended by the same five lines in two places; an output that silenced the list was carried out by nobody, as agents look at the world; a request kept a try that was never read; the baselines kept a copy of which try an attempt is at; the time of a fresh connection was added to a delay and the delay taken off again. No behaviour changed.

--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -44,8 +44,6 @@
     asked: Vec<(usize, bool)>,
     /// The newest attempt at each try.
     last: Vec<Option<usize>>,
-    /// The try of each attempt.
-    of: Vec<usize>,
     /// What the policy waits for: when, and for which try.
     waits: BinaryHeap<Reverse<(Us, usize, Wait)>>,
     /// Nodes that are gone.
@@ -63,7 +61,6 @@
         rng: Pcg64::new(u128::from(draw.seed), 0xba5e),
         asked: Vec::new(),
         last: Vec::new(),
-        of: Vec::new(),
         waits: BinaryHeap::new(),
         down: BTreeSet::new(),
         attempts_most: rules.attempts,
@@ -113,7 +110,7 @@
                 self.close(now, ask);
             }
             Out::Reply { attempt, reply } => {
-                let ask = self.of[attempt];
+                let ask = self.world.ask_of(attempt);
                 match reply {
                     Reply::Served => self.end(now, ask, 200, Some(attempt)),
                     Reply::TurnedAway => self.attempt(now, ask),
@@ -140,8 +137,7 @@
             | Out::Signal(..)
             | Out::Reach { .. }
             | Out::Drop { .. }
-            | Out::EndWatches(_)
-            | Out::Silence(_) => {}
+            | Out::EndWatches(_) => {}
         }
     }
 
@@ -181,7 +177,6 @@
             Reach::Open => {
                 let txn = self.world.txn(ask);
                 if let Some(attempt) = self.world.attempt(now, server, zone, &txn, false) {
-                    self.of.resize(attempt + 1, ask);
                     self.last[ask] = Some(attempt);
                 }
             }
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -262,8 +262,6 @@
                 Out::Drop { server, zone } => self.doors.drop_connections(server, zone),
                 Out::Tell { node, from, to } => agent::tell(self, node, from, to),
                 Out::EndWatches(node) => agent::end_watches(self, node),
-                // Agents look at the world before they speak.
-                Out::Silence(_) => {}
                 Out::Crowd { node, count, until } => {
                     let stay = Duration::from_micros(until.saturating_sub(self.now()));
                     drop(spawn_local(clients::crowd(self.addresses.node(node), count, stay)));
--- a/crates/lab/src/world/attempts.rs
+++ b/crates/lab/src/world/attempts.rs
@@ -34,11 +34,6 @@
         }
     }
 
-    /// The play begins at this Unix time.
-    pub fn begin_at(&mut self, unix_ms: f64) {
-        self.unix_start_ms = unix_ms;
-    }
-
     /// An attempt at a try, whole at the server's machine; `fresh` where it is its connection's first. `None` where
     /// the text names no try: the referee notes that.
     pub fn attempt(&mut self, now: Us, server: usize, zone: usize, txn: &str, fresh: bool) -> Option<usize> {
@@ -55,19 +50,21 @@
         let attempt = self.attempts.len();
         let life = self.servers[server].life;
         self.attempts.push(Attempt { of, place, server, life, zone, stage: Stage::OnWay, told });
-        if self.passes(zone, self.servers[server].spec.zone) && self.servers[server].power != Power::Dark {
-            let mut delay = self.draw.delays[zone][self.servers[server].spec.zone];
-            if fresh {
-                delay += (2.0 * delay as f64 * self.draw.handshake_trips) as Us;
-            }
-            let to = self.servers[server].spec.zone;
-            let more = delay - self.draw.delays[zone][to];
-            let there = self.over_link(now + more, zone, to, REQUEST_BYTES);
+        let to = self.servers[server].spec.zone;
+        if self.passes(zone, to) && self.servers[server].power != Power::Dark {
+            let trips = if fresh { 2.0 * self.draw.handshake_trips } else { 0.0 };
+            let sent = now + (self.draw.delays[zone][to] as f64 * trips) as Us;
+            let there = self.over_link(sent, zone, to, REQUEST_BYTES);
             self.at(there, Ev::AtServer(attempt));
         }
         Some(attempt)
     }
 
+    /// The try that an attempt is at.
+    pub fn ask_of(&self, attempt: usize) -> usize {
+        self.attempts[attempt].of
+    }
+
     /// The node no longer waits for an attempt.
     pub fn attempt_closed(&mut self, now: Us, attempt: usize) {
         self.advance(now);
--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -11,7 +11,6 @@
         }
         self.requests.push(Request {
             tries: 0,
-            current: None,
             ended: None,
             kept: None,
             last: End::Unanswered,
@@ -40,7 +39,6 @@
         let ask = self.tries.len();
         let again = self.requests[request].tries > 0;
         self.requests[request].tries += 1;
-        self.requests[request].current = Some(ask);
         self.tries.push(Try {
             request,
             node,
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -147,7 +147,6 @@
 
     fn silence(&mut self, on: bool) {
         self.silent = on;
-        self.out.push_back(Out::Silence(on));
         if !on {
             let version = self.list.version();
             for node in 0..self.nodes.len() {
--- a/crates/lab/src/world/fleet.rs
+++ b/crates/lab/src/world/fleet.rs
@@ -94,15 +94,20 @@
         }
     }
 
+    /// A server ends without a word; the list finds out in time.
     pub(super) fn power_off(&mut self, server: usize) {
+        self.end_process(server);
+        let life = self.servers[server].life;
+        self.at(self.now + self.draw.list.silent_notice, Ev::ListGone(server, life));
+    }
+
+    /// A server's process ends, and its connections with it.
+    fn end_process(&mut self, server: usize) {
         self.settle(server);
         let place = &mut self.servers[server];
-        place.power = Power::Off;
-        place.due = None;
-        let life = place.life;
+        (place.power, place.due) = (Power::Off, None);
         self.out.push_back(Out::Drop { server, zone: None });
         self.reaches(server);
-        self.at(self.now + self.draw.list.silent_notice, Ev::ListGone(server, life));
     }
 
     /// A server starts, cold; the list has it a little later.
@@ -137,11 +142,7 @@
         if self.servers[server].life != life || self.servers[server].power != Power::Up {
             return;
         }
-        self.settle(server);
-        let place = &mut self.servers[server];
-        (place.power, place.due) = (Power::Off, None);
-        self.out.push_back(Out::Drop { server, zone: None });
-        self.reaches(server);
+        self.end_process(server);
         let next = if replace {
             let mut heir = Place::new(self.servers[server].spec.clone(), None, 0.0);
             heir.power = Power::Off;
--- a/crates/lab/src/world/list.rs
+++ b/crates/lab/src/world/list.rs
@@ -3,6 +3,11 @@
 use super::*;
 
 impl World {
+    /// The play begins at this Unix time.
+    pub fn begin_at(&mut self, unix_ms: f64) {
+        self.unix_start_ms = unix_ms;
+    }
+
     pub(super) fn unix_ms(&self, at: Us) -> f64 {
         (self.unix_start_ms + at as f64 / 1e3).round()
     }
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -99,8 +99,6 @@
     },
     /// The watches at a node's agent end.
     EndWatches(usize),
-    /// The list falls silent, or speaks again.
-    Silence(bool),
     /// So many strangers connect to a node and say nothing, until that time.
     Crowd {
         /// The node.
@@ -301,8 +299,6 @@
 #[derive(Debug)]
 struct Request {
     tries: usize,
-    /// The try that the client waits for.
-    current: Option<usize>,
     ended: Option<End>,
     /// It has run, and until then its repeats are dropped.
     kept: Option<Us>,
