--- a/crates/lab/src/world/figures.rs
+++ b/crates/lab/src/world/figures.rs
@@ -2,6 +2,25 @@
 
 use super::*;
 
+/// How the servers that nodes may use are doing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetState {
+    /// How many there are.
+    pub servers: usize,
+    /// Of those, how many have nothing to do.
+    pub idle: usize,
+    /// How many are still warming up.
+    pub cold: usize,
+    /// Work that they get done, in seconds of a standard core a second, as crowded as they are.
+    pub capacity: f64,
+    /// Requests that they hold for each core, on average.
+    pub held: f64,
+    /// The most that one holds for each core.
+    pub most_held: f64,
+    /// Work done by all servers since the start, in seconds of a standard core.
+    pub done: f64,
+}
+
 impl World {
     /// The figures, for the result.
     pub fn tally(&self) -> &Tally {
@@ -53,13 +72,21 @@
         (!crowded).then(|| (place.model.capacity(self.now), place.model.backlog()))
     }
 
-    /// Work that the servers that are up get done in a second, and what they hold, in seconds of one core; and how many
-    /// of them have nothing to do.
-    pub fn fleet_state(&self) -> (f64, f64, usize) {
-        let up = || self.servers.iter().filter(|p| p.power == Power::Up);
-        let capacity: f64 = up().map(|p| p.model.capacity(self.now)).sum();
-        let backlog: f64 = up().map(|p| p.model.backlog()).sum();
-        (capacity, backlog / 1e6, up().filter(|p| p.model.held() == 0).count())
+    /// How the servers that are up and newly listed as in service are doing.
+    pub fn fleet_state(&self) -> FleetState {
+        let active = |n: &usize| self.list.newest(*n).is_some_and(|e| e.health == Health::Active);
+        let usable = (0..self.servers.len()).filter(active).map(|n| &self.servers[n]);
+        let usable: Vec<&Place> = usable.filter(|p| p.power == Power::Up).collect();
+        let held = |p: &&Place| p.model.held() as f64 / p.model.figures().cores as f64;
+        FleetState {
+            servers: usable.len(),
+            idle: usable.iter().filter(|p| p.model.held() == 0).count(),
+            cold: usable.iter().filter(|p| p.model.cold(self.now)).count(),
+            capacity: usable.iter().map(|p| p.model.capacity(self.now)).sum(),
+            held: usable.iter().map(held).sum::<f64>() / usable.len().max(1) as f64,
+            most_held: usable.iter().map(held).fold(0.0, f64::max),
+            done: self.servers.iter().map(|p| p.done_before + p.model.work_done()).sum::<f64>() / 1e6,
+        }
     }
 
     /// The servers that a node's agent has listed as in service.
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -16,6 +16,8 @@
 mod fleet;
 mod list;
 
+pub use self::figures::FleetState;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::net::SocketAddr;
--- a/crates/stoneshift/src/model.rs
+++ b/crates/stoneshift/src/model.rs
@@ -89,7 +89,7 @@
 }
 
 fn second(look: &Look<'_>) {
-    let (capacity, backlog, idle) = look.world.fleet_state();
+    let f = look.world.fleet_state();
     let mut sums = [0.0; 10];
     let mut count = 0.0;
     for words in look.words.iter().flatten() {
@@ -103,8 +103,15 @@
     let names = ["held", "out", "used", "servers", "ejected", "down", "cold", "limits", "fleet"];
     let figures: Vec<String> = names.iter().zip(sums).map(|(n, s)| format!("{n} {:.2}", s / count)).collect();
     println!(
-        "{:>5.1} s: capacity {capacity:.1} backlog {backlog:.2} idle {idle}; {}",
+        "{:>5.1} s: usable {:>3} idle {:>3} cold {:>3} capacity {:>6.1} held {:.2} most {:.1} done {:.0}; {}",
         look.now as f64 / 1e6,
+        f.servers,
+        f.idle,
+        f.cold,
+        f.capacity,
+        f.held,
+        f.most_held,
+        f.done,
         figures.join(" ")
     );
 }
