Rest by a server's answers, not by its refusals: a full server is left alone

Cause: a limit below one has a node rest for the last answer's time over the limit. A refusal counted as an answer (learn in src/balance.rs); it takes 1 ms, so the rest of a server that had just turned a node away was over after 20 ms, and eight nodes that share it kept it full. Mend: a refusal leaves the rest as it is.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1055,7 +1055,11 @@
             self.fleet = (self.fleet * step.exp()).min(FLEET_RESERVE);
         }
         let Some(s) = self.servers.get_mut(&id) else { return };
-        s.last_took = took;
+        if outcome != Outcome::Full {
+            // To be turned away takes no time: a rest that went by it would end at once, and many nodes that rest
+            // so keep a full server full.
+            s.last_took = took;
+        }
         if done && alone {
             let time = &mut self.times.entry(s.entry.kind).or_insert_with(|| vec![0.0; count])[class];
             *time += (took - *time) * if *time > 0.0 { TIME_GAIN } else { 1.0 };
