Begin with less than one attempt each where eight nodes share a server

Cause: first_limit in src/balance.rs gave eight sharing nodes one attempt each (8 / 8), and nine less than one (5 / 9). Eight is what the subset aims at, so the usual fleet of hundreds began, and came back after each change of the list, with what the constant's own reason forbids: many nodes that may each send at once crowd a server before any has heard of it. No constant is moved; the case of eight goes to its other side.

--- a/crates/lab/tests/fleets.rs
+++ b/crates/lab/tests/fleets.rs
@@ -45,3 +45,11 @@
         assert!(away < 0.3, "seed {seed}: {away} of the attempts were turned away");
     }
 }
+
+#[test]
+fn many_nodes_that_share_a_server_begin_with_less_than_one_attempt_each() {
+    // Servers that a moment of crowding chokes, all of them needed.
+    let busy = "[server]\nchoke_at = 3\nchoke_over_s = 0.8\n[load]\nof_capacity = 1.0\nswing = 0\n";
+    let choked: f64 = (1..=4).map(|seed| play(busy, seed).overdriven() / 4.0).sum();
+    assert!(choked < 0.4, "{choked} of the servers were choked");
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -51,7 +51,7 @@
 const LIMIT_FADE: f64 = 0.02;
 /// Attempts of all nodes out at a server at first, and the least own limit; below one, it rests between them.
 const LIMITS: (f64, f64) = (8.0, 0.05);
-/// The first of these where it is less than one for each node that shares the server: such limits start low,
+/// The first of these where it is no more than one for each node that shares the server: such limits start low,
 /// as many nodes that each may send at once crowd a server before any has heard of it.
 const SPACED: f64 = 5.0;
 /// How far the fleet's factor may rise above 1, so that a few late answers do not make it act.
@@ -568,7 +568,7 @@
     /// The concurrency limit that a server begins with.
     fn first_limit(&self) -> f64 {
         let sharing = self.sharing().max(1.0);
-        if sharing <= LIMITS.0 {
+        if sharing < LIMITS.0 {
             LIMITS.0 / sharing
         } else {
             SPACED / sharing
