Tell the age of a marked repeat, and begin none that can't be in time

Cause: age in src/balance.rs took each repeat for a new request where clients may repeat what they gave up, as the time of a try tells nothing by itself. Clients mark repeats (X-Resent, bit 2 of the marks), and a try that is cut short by the client's whole time, which the class's Deadline names, tells its age exactly. Mend: the mark and the class's deadline reach the module. A marked repeat with less time than a whole try is as old as the rest of the deadline; one with a whole try is taken to be half way to that. One that can't be in time by its class's usual time is refused at once: what is given up at its aim anyway is not begun.

--- a/crates/lab/src/modules/node.rs
+++ b/crates/lab/src/modules/node.rs
@@ -228,7 +228,17 @@
         let margin = MARGIN.0.min(asked.wait / MARGIN.1);
         // Its time is counted from when it was sent.
         let deadline = millis((asked.at + asked.wait).saturating_sub(margin).max(now));
-        self.feed(now, Event::Request { id, class: asked.class, tenant: None, deadline, coming: false })
+        self.feed(
+            now,
+            Event::Request {
+                id,
+                class: asked.class,
+                tenant: None,
+                deadline,
+                coming: false,
+                again: asked.again,
+            },
+        )
     }
 
     /// Its client left.
--- a/crates/lab/tests/fleets.rs
+++ b/crates/lab/tests/fleets.rs
@@ -35,6 +35,15 @@
     (late as f64 / all as f64, away as f64 / attempts as f64)
 }
 
+#[test]
+fn overload_is_not_kept_up_by_repeats_that_can_t_be_in_time() {
+    for seed in [1, 2] {
+        let world = play("[load]\nof_capacity = 1.3\nswing = 0\n", seed);
+        let (late, _) = shares(&world);
+        assert!(late < 0.1, "seed {seed}: {late} of the requests were served late");
+    }
+}
+
 #[test]
 fn a_full_server_is_not_kept_full_by_nodes_that_it_turns_away() {
     let slow = "[server]\nqueue_per_core = 1\n[load]\nof_capacity = 0.6\n\
--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -6,7 +6,13 @@
     Settings {
         number: 0,
         nodes: 1,
-        classes: vec![Class { aim: 100.0, worth: 1.0, late_worth: 0.0, effect: Effect::Unsafe }],
+        classes: vec![Class {
+            aim: 100.0,
+            deadline: 500.0,
+            worth: 1.0,
+            late_worth: 0.0,
+            effect: Effect::Unsafe,
+        }],
         tenants: Vec::new(),
         over_share_worth: 1.0,
         goal: Goal { worth: 1.0, ..Goal::default() },
@@ -54,7 +60,14 @@
     let entries = (1..=3).map(|id| entry(id, Listed::Up)).collect();
     tell(&mut balancer, 0.0, Event::List { entries, saved: false });
 
-    let ask = |id, now| Event::Request { id, class: 0, tenant: None, deadline: now + 500.0, coming: false };
+    let ask = |id, now| Event::Request {
+        id,
+        class: 0,
+        tenant: None,
+        deadline: now + 500.0,
+        coming: false,
+        again: false,
+    };
     let first = RequestId(1);
     let server = tell(&mut balancer, 10.0, ask(first, 10.0)).expect("three servers are ready");
     tell(&mut balancer, 22.0, ended(first, 0, server, Outcome::Done));
--- a/src/api.rs
+++ b/src/api.rs
@@ -45,6 +45,8 @@
 pub struct Class {
     /// An answer within this time has its full worth.
     pub aim: Millis,
+    /// How long a client waits in all, over its repeats too; infinite where that is not told.
+    pub deadline: Millis,
     /// Worth of an answer in time.
     pub worth: f64,
     /// Part of the worth that a later answer still has.
@@ -203,8 +205,10 @@
                 amounts.push((format!("classes[{n}].effect.memory"), memory));
             }
             shares.push((format!("classes[{n}].late_worth"), class.late_worth));
-            if class.aim <= 0.0 {
-                return fail(format!("classes[{n}].aim: must be above 0"));
+            for (name, value) in [("aim", class.aim), ("deadline", class.deadline)] {
+                if value.is_nan() || value <= 0.0 {
+                    return fail(format!("classes[{n}].{name}: must be above 0"));
+                }
             }
         }
         for (n, tenant) in self.tenants.iter().enumerate() {
@@ -315,6 +319,8 @@
         /// Its body is passed on as it comes. Until it is whole its server has no work of it; it can be sent
         /// just once.
         coming: bool,
+        /// Its client has marked it as a repeat of one that was refused, failed or given up.
+        again: bool,
     },
     /// A request that was coming is whole: its time counts from now on.
     Whole {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -51,14 +51,16 @@
 const LIMIT_FADE: f64 = 0.02;
 /// Attempts of all nodes out at a server at first, and the least own limit; below one, it rests between them.
 const LIMITS: (f64, f64) = (8.0, 0.05);
-/// The first of these where it is no more than one for each node that shares the server: such limits start low,
-/// as many nodes that each may send at once crowd a server before any has heard of it.
+/// The first of these where it is no more than one for each node that shares the server: such limits start
+/// low, as many nodes that each may send at once crowd a server before any has heard of it.
 const SPACED: f64 = 5.0;
 /// How far the fleet's factor may rise above 1, so that a few late answers do not make it act.
 const FLEET_RESERVE: f64 = 2.0;
 /// Part of its aim that a request may be held at the node: in a burst, and in a lasting overload.
 const HOLD: (f64, f64) = (0.25, 0.1);
 
+/// A try with this part of the most time that one ever had left is not cut short; the rest is the way here.
+const WHOLE_TRY: f64 = 0.98;
 /// Part of its aim that the client of a refused request should stay away.
 const STAY_AWAY: f64 = 0.25;
 
@@ -367,9 +369,9 @@
                 self.regroup();
             }
             Event::Enable { server, returned } => self.on_enabled(server, returned),
-            Event::Request { id, class, tenant, deadline, coming } => {
+            Event::Request { id, class, tenant, deadline, coming, again } => {
                 let body = if coming { Body::Coming } else { Body::Kept };
-                self.on_request(id, class, tenant, deadline, body, actions);
+                self.on_request(id, class, tenant, deadline, body, again, actions);
             }
             Event::Whole { id, deadline } => self.on_whole(id, deadline),
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt, actions),
@@ -812,6 +814,7 @@
 
     // ---- Requests ----
 
+    #[allow(clippy::too_many_arguments)]
     fn on_request(
         &mut self,
         id: RequestId,
@@ -819,6 +822,7 @@
         tenant: Option<usize>,
         deadline: Millis,
         body: Body,
+        again: bool,
         actions: &mut Vec<Action>,
     ) {
         if self.requests.contains_key(&id) {
@@ -837,12 +841,19 @@
         let in_share = tenant.is_none_or(|t| self.take_quota(t));
         let attempts = Vec::new();
         let came = self.now;
-        let asked = came - self.age(class, deadline);
+        let asked = came - self.age(class, deadline, again);
         let streaming = false;
         let request = Request { body, class, tenant, in_share, asked, came, deadline, attempts, streaming };
         self.tally(&request, |care| &mut care.asked);
+        // An attempt is given up when it is of no more use; so a repeat that can't be in time is not begun.
+        // It would only take the work of others that can.
+        let hopeless = again && self.worth_until(&request) - came < self.classes[class].mean;
         self.requests.insert(id, request);
-        self.waiting.push(id);
+        if hopeless {
+            self.conclude(id, actions);
+        } else {
+            self.waiting.push(id);
+        }
         self.serve_waiting(actions);
     }
 
@@ -850,7 +861,7 @@
     fn on_whole(&mut self, id: RequestId, deadline: Millis) {
         let coming = self.requests.get(&id).filter(|r| r.body == Body::Coming);
         let Some(class) = coming.map(|r| r.class) else { return };
-        let asked = self.now - self.age(class, deadline);
+        let asked = self.now - self.age(class, deadline, false);
         let Some(request) = self.requests.get_mut(&id) else { return };
         (request.body, request.asked, request.came, request.deadline) =
             (Body::Passed, asked, self.now, deadline);
@@ -864,15 +875,21 @@
     /// How long ago the client first asked. A client that comes back after a refusal still gives up when the
     /// time of its first asking ends: to take its request for a new one would spend work on what can no
     /// longer be in time. The most time that a class's requests ever had left is that of new ones. Where
-    /// clients may repeat what they have given up, the deadline is that of the try and tells nothing.
-    fn age(&mut self, class: usize, deadline: Millis) -> Millis {
-        let left = deadline - self.now;
+    /// clients may repeat what they have given up, each try has a time of its own, cut short where the
+    /// client's whole time ends sooner: of those marked as repeats, that tells when they first asked.
+    fn age(&mut self, class: usize, deadline: Millis, again: bool) -> Millis {
+        let (left, all) = (deadline - self.now, self.set.classes[class].deadline);
         let most = &mut self.classes[class].most_left;
         if left.is_finite() {
             *most = most.max(left);
         }
         match self.set.classes[class].effect {
-            Effect::Safe | Effect::Keyed { group: Group::All, .. } => 0.0,
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => match all {
+                all if !again || all.is_infinite() => 0.0,
+                all if left < WHOLE_TRY * *most => (all - left).max(0.0),
+                // Asked at some time between now and when its try would have been cut short.
+                all => ((all - *most) / 2.0).max(0.0),
+            },
             _ => (*most - left).max(0.0),
         }
     }
@@ -926,8 +943,7 @@
 
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        let late = self.set.classes[request.class].late_worth > 0.0;
-        let timeout = if late { request.deadline } else { self.useful_until(request) } - self.now;
+        let timeout = self.worth_until(request) - self.now;
         let (rest, least) = (self.servers.get(&to).map_or(0.0, |s| self.rest(s)), self.least_limit());
         let (Some(request), Some(server)) = (self.requests.get_mut(&id), self.servers.get_mut(&to)) else {
             return;
@@ -960,6 +976,16 @@
         (request.asked + aim - self.set.tick).min(request.deadline)
     }
 
+    /// Until when an answer is worth anything.
+    fn worth_until(&self, request: &Request) -> Millis {
+        let late = self.set.classes[request.class].late_worth > 0.0;
+        if late {
+            request.deadline
+        } else {
+            self.useful_until(request)
+        }
+    }
+
     fn on_streaming(&mut self, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.streaming = true;
@@ -1056,8 +1082,8 @@
         }
         let Some(s) = self.servers.get_mut(&id) else { return };
         if outcome != Outcome::Full {
-            // To be turned away takes no time: a rest that went by it would end at once, and many nodes that rest
-            // so keep a full server full.
+            // To be turned away takes no time: a rest that went by it would end at once, and many nodes that
+            // rest so keep a full server full.
             s.last_took = took;
         }
         if done && alone {
@@ -1090,8 +1116,7 @@
     fn further(&mut self, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let class = &self.set.classes[request.class];
-        let end = if class.late_worth > 0.0 { request.deadline } else { self.useful_until(request) };
-        let time = end - self.now > self.classes[request.class].mean;
+        let time = self.worth_until(request) - self.now > self.classes[request.class].mean;
         let free = outcome.never_ran();
         let may =
             self.rotated().any(|s| request.may_repeat(class, &self.set.limits, self.now, Some(&s.entry)));
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -60,6 +60,8 @@
 
 const TXN: HeaderName = HeaderName::from_static("x-txn");
 const ORG: HeaderName = HeaderName::from_static("x-org");
+/// Marks a client's repeat.
+const RESENT: HeaderName = HeaderName::from_static("x-resent");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// A request as it goes on to a server.
@@ -68,6 +70,8 @@
     pub class: usize,
     /// Index of its tenant.
     pub tenant: Option<usize>,
+    /// Its client marks it as a repeat.
+    pub again: bool,
     /// Its method.
     pub method: Method,
     /// Path and query.
@@ -125,6 +129,7 @@
         Self {
             class: 0,
             tenant: None,
+            again: false,
             method: Method::GET,
             uri,
             headers,
@@ -535,10 +540,11 @@
     };
     let mut headers = end_to_end(&parts.headers);
     headers.remove(REMAINING);
+    let again = headers.get(RESENT).is_some_and(|v| v == "1");
     if !headers.contains_key(HOST) {
         headers.insert(HOST, HeaderValue::from_static("service.internal"));
     }
-    Ok((Asked { class, tenant, method: parts.method, uri, headers, body }, remaining))
+    Ok((Asked { class, tenant, again, method: parts.method, uri, headers, body }, remaining))
 }
 
 /// Checks what a request must bring, and gives its time.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -330,7 +330,8 @@
         deadline: Instant,
     ) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, answered) = oneshot::channel();
-        let (class, tenant, coming) = (asked.class, asked.tenant, asked.body.passage().is_some());
+        let (class, tenant, again) = (asked.class, asked.tenant, asked.again);
+        let coming = asked.body.passage().is_some();
         let id = {
             let mut state = self.state.borrow_mut();
             state.last_id += 1;
@@ -339,7 +340,7 @@
             state.requests.insert(id, open);
             id
         };
-        self.feed(Event::Request { id, class, tenant, deadline: self.clock.at(deadline), coming });
+        self.feed(Event::Request { id, class, tenant, deadline: self.clock.at(deadline), coming, again });
         (id, answered)
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -9,6 +9,9 @@
 use crate::api::*;
 use crate::balance::Balancer;
 
+/// The bit of a request's marks that says its client repeats it.
+const REPEAT: u64 = 2;
+
 /// A line that cannot be understood.
 pub type WireError = String;
 
@@ -110,6 +113,7 @@
     let class = Class {
         aim: f.number("Slo")?,
         worth: f.number_or("Value", 1.0)?,
+        deadline: f.number_or("Deadline", f64::INFINITY)?,
         late_worth: f.number_or("LateValue", 0.0)?,
         effect,
     };
@@ -140,11 +144,8 @@
 pub fn told(value: &Value) -> Result<Told, WireError> {
     let f = Fields::of(value, "Options")?;
     let classes = f.list("Classes")?.iter().map(class).collect::<Result<Vec<_>, _>>()?;
-    let (class_names, classes) = classes.into_iter().unzip();
-    let mut longest: Millis = 0.0;
-    for value in f.list("Classes")? {
-        longest = longest.max(Fields::of(value, "Classes")?.number_or("Deadline", f64::INFINITY)?);
-    }
+    let (class_names, classes): (Names, Vec<Class>) = classes.into_iter().unzip();
+    let longest = classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
     let mut tenants = Vec::new();
     let mut tenant_names = Vec::new();
     for value in f.list("Customers")? {
@@ -355,6 +356,7 @@
                 tenant: index(&self.tenants, at(3)),
                 deadline: number(at(5), "DropDead")?,
                 coming: false,
+                again: at(7).as_u64().is_some_and(|marks| marks & REPEAT != 0),
             },
             "STREAMING" => Event::Streaming { id: id()?, attempt: attempt()? },
             "RESPONSE" => Event::Ended {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -14,7 +14,7 @@
 pub const DRAIN_GRACE: f64 = 0.0;
 
 pub fn settings() -> Settings {
-    let class = |aim, worth, effect| Class { aim, worth, late_worth: 0.0, effect };
+    let class = |aim, worth, effect| Class { aim, deadline: 2.0 * PATIENCE, worth, late_worth: 0.0, effect };
     Settings {
         number: 0,
         nodes: 2,
@@ -108,7 +108,15 @@
         let id = RequestId(self.next);
         self.next += 1;
         let deadline = self.now + left;
-        (id, self.event(Event::Request { id, class, tenant, deadline, coming: false }))
+        (id, self.event(Event::Request { id, class, tenant, deadline, coming: false, again: false }))
+    }
+
+    /// A marked repeat of a request, whose client gives up after `left`.
+    pub fn ask_again(&mut self, class: usize, left: f64) -> (RequestId, Vec<Action>) {
+        let id = RequestId(self.next);
+        self.next += 1;
+        let deadline = self.now + left;
+        (id, self.event(Event::Request { id, class, tenant: None, deadline, coming: false, again: true }))
     }
 
     /// A request whose body is still coming.
@@ -116,7 +124,7 @@
         let id = RequestId(self.next);
         self.next += 1;
         let deadline = self.now + PATIENCE;
-        (id, self.event(Event::Request { id, class, tenant: None, deadline, coming: true }))
+        (id, self.event(Event::Request { id, class, tenant: None, deadline, coming: true, again: false }))
     }
 
     /// Ends the request's newest attempt.
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -132,7 +132,14 @@
                 let (id, deadline) = (RequestId(next), day.now + time);
                 next += 1;
                 day.open.insert(id, (deadline, 0));
-                day.event(Event::Request { id, class: *class, tenant: None, deadline, coming: false });
+                day.event(Event::Request {
+                    id,
+                    class: *class,
+                    tenant: None,
+                    deadline,
+                    coming: false,
+                    again: false,
+                });
             }
             Step::End(i, outcome) => {
                 if !day.out.is_empty() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -612,13 +612,32 @@
     }
 }
 
+/// A client waits for PATIENCE a try and twice that in all, and wants SAFE within a fifth of it.
+#[test]
+fn a_marked_repeat_is_not_begun_where_it_can_t_be_in_time() {
+    let mut node = Node::fleet(settings(), 4);
+    let (first, actions) = node.ask_with(SAFE, None, PATIENCE);
+    assert!(sent_to(&actions).is_some());
+    node.end(first, Outcome::Done);
+    let (late, actions) = node.ask_again(SAFE, 0.7 * PATIENCE);
+    assert!(refused(&actions, late) && sent_to(&actions).is_none(), "{actions:?}");
+    let (_, actions) = node.ask_with(SAFE, None, 0.7 * PATIENCE);
+    assert!(sent_to(&actions).is_some(), "one that is not marked may have little patience: {actions:?}");
+}
+
 /// Guards rule 1: the repeat was answered as failed, and the first was sent or answered once more.
 #[test]
 fn a_request_id_handed_in_again_changes_nothing() {
     let mut node = Node::fleet(settings(), 0);
     let (id, _) = node.ask(UNSAFE);
-    let again =
-        Event::Request { id, class: UNSAFE, tenant: None, deadline: node.now + PATIENCE, coming: false };
+    let again = Event::Request {
+        id,
+        class: UNSAFE,
+        tenant: None,
+        deadline: node.now + PATIENCE,
+        coming: false,
+        again: false,
+    };
     let actions = node.event(again.clone());
     assert!(!failed(&actions, id) && !refused(&actions, id), "{actions:?}");
     node.event(Event::List { entries: vec![entry(0, 1.0)], saved: false });
