Begin no work that there is no time for, by the client's own guess

Cause: the module knew nothing of a request's work, though clients guess it well (X-Estimate; Hint on the wire). A request of ten times the usual work is sent, holds a core for its whole aim, and is given up. Mend: the guess reaches the module. What would take longer than it is of use, by its class's mean and the work beyond the class's usual, is refused at once. The order of turns does not look at it. A guess is believed no further than the time that it took, so a wrong one moves no mean beyond that.

--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -22,6 +22,7 @@
     Arrivals,
     Faults,
     Network,
+    Guesses,
 }
 
 /// Microseconds from milliseconds.
@@ -75,6 +76,8 @@
     pub class: usize,
     /// How much work it is.
     pub work: f64,
+    /// What its client guesses that to be.
+    pub guess: f64,
     /// Its client stays away for as long as a refusal says.
     pub honours: bool,
     /// Its client leaves after this share of its patience.
@@ -228,6 +231,7 @@
         let mut rng = stream(seed, Stream::Faults);
         draw.faults = plan.faults.iter().map(|f| draw.fault(f.get_ref(), &mut rng)).collect();
         draw.arrivals = draw.arrive(plan, &mut stream(seed, Stream::Arrivals));
+        draw.guess(plan, &mut stream(seed, Stream::Guesses));
         draw
     }
 
@@ -274,6 +278,14 @@
         }
     }
 
+    /// What clients guess of their requests' work.
+    fn guess(&mut self, plan: &Plan, rng: &mut Pcg64) {
+        let cv = take(rng, plan.load.get_ref().guess_cv);
+        for arrival in &mut self.arrivals {
+            arrival.guess = arrival.work * lognormal(rng, cv);
+        }
+    }
+
     /// First tries: a Poisson process whose rate swings, with the bursts of the timeline.
     fn arrive(&self, plan: &Plan, rng: &mut Pcg64) -> Vec<Arrival> {
         let load = plan.load.get_ref();
@@ -316,6 +328,7 @@
                 zone: pick(rng, &zones),
                 class,
                 work: work_of(rng, plan, class, self.classes[class].work),
+                guess: 0.0,
                 honours: rng.random::<f64>() < honour,
                 leaves: (rng.random::<f64>() < impatient).then(|| rng.random()),
                 chance: rng.random(),
@@ -331,14 +344,19 @@
         Dist::Exp => Exp1.sample(rng),
         Dist::Lognormal => {
             let (least, most) = class.cv.bounds();
-            let variance = (1.0 + ((least + most) / 2.0).powi(2)).ln();
-            // Both parameters are finite: the plan's figures are.
-            LogNormal::new(-variance / 2.0, variance.sqrt()).map_or(1.0, |d| d.sample(rng))
+            lognormal(rng, (least + most) / 2.0)
         }
     };
     (mean * unit).max(100.0)
 }
 
+/// With a mean of 1 and this standard deviation.
+fn lognormal(rng: &mut Pcg64, cv: f64) -> f64 {
+    let variance = (1.0 + cv.powi(2)).ln();
+    // Both parameters are finite: the plan's figures are.
+    LogNormal::new(-variance / 2.0, variance.sqrt()).map_or(1.0, |d| d.sample(rng))
+}
+
 fn servers(plan: &Plan, rng: &mut Pcg64) -> Vec<ServerSpec> {
     let (fleet, kind) = (plan.fleet.get_ref(), plan.server.get_ref());
     let skew = take(rng, fleet.server_skew);
--- a/crates/lab/src/live/clients.rs
+++ b/crates/lab/src/live/clients.rs
@@ -125,7 +125,7 @@
     header("host", "service.internal".into());
     header("x-txn", world.txn(ask));
     header("x-remaining-ms", (asked.wait / 1000).to_string());
-    header("x-estimate", format!("{:.0}", asked.work));
+    header("x-estimate", format!("{:.0}", asked.guess));
     if asked.again {
         header("x-resent", "1".into());
     }
--- a/crates/lab/src/modules/node.rs
+++ b/crates/lab/src/modules/node.rs
@@ -237,6 +237,7 @@
                 deadline,
                 coming: false,
                 again: asked.again,
+                work: Some(asked.guess / 1e3),
             },
         )
     }
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -266,6 +266,8 @@
     pub swing: Range,
     /// By how much zones differ in traffic.
     pub zone_skew: Range,
+    /// Standard deviation over mean of what clients guess a request's work at, over what it is.
+    pub guess_cv: Range,
 }
 
 impl Default for Load {
@@ -275,6 +277,7 @@
             per_s: None,
             swing: Range::Between([0.16, 0.36]),
             zone_skew: Range::Between([0.25, 0.6]),
+            guess_cv: Range::Fixed(0.2),
         }
     }
 }
@@ -715,6 +718,7 @@
         let at = self.load.span().start;
         share("load.zone_skew", load.zone_skew).map_err(|w| (at, w))?;
         share("load.swing", load.swing).map_err(|w| (at, w))?;
+        share("load.guess_cv", load.guess_cv).map_err(|w| (at, w))?;
         let rate = load.per_s.unwrap_or(load.of_capacity).bounds();
         if !(rate.0 >= 0.0 && rate.1 <= 1e5) {
             return Err((at, "load: the rate must be within 0 and 100000".into()));
--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -130,6 +130,7 @@
             wait: t.wait,
             at: t.at,
             work: arrival.work,
+            guess: arrival.guess,
             again: t.again,
         }
     }
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -191,6 +191,8 @@
     pub at: Us,
     /// Its work.
     pub work: f64,
+    /// What its client guesses that to be.
+    pub guess: f64,
     /// It is a client's retry.
     pub again: bool,
 }
--- a/crates/lab/tests/fleets.rs
+++ b/crates/lab/tests/fleets.rs
@@ -62,3 +62,11 @@
     let choked: f64 = (1..=4).map(|seed| play(busy, seed).overdriven() / 4.0).sum();
     assert!(choked < 0.4, "{choked} of the servers were choked");
 }
+
+#[test]
+fn work_that_there_is_no_time_for_is_not_begun() {
+    // One request in twenty or so is more work than an overloaded fleet can do in its aim.
+    let wasted = |seed| play("[load]\nof_capacity = 1.3\nswing = 0\n", seed).wasted();
+    let mean = (1..=4).map(|seed| wasted(seed) / 4.0).sum::<f64>();
+    assert!(mean < 0.13, "{mean} of the work asked for was done in vain");
+}
--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -67,6 +67,7 @@
         deadline: now + 500.0,
         coming: false,
         again: false,
+        work: None,
     };
     let first = RequestId(1);
     let server = tell(&mut balancer, 10.0, ask(first, 10.0)).expect("three servers are ready");
--- a/src/api.rs
+++ b/src/api.rs
@@ -321,6 +321,8 @@
         coming: bool,
         /// Its client has marked it as a repeat of one that was refused, failed or given up.
         again: bool,
+        /// How much work it is, as time on a standard core, where its client guesses it.
+        work: Option<Millis>,
     },
     /// A request that was coming is whole: its time counts from now on.
     Whole {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -168,6 +168,7 @@
 
 struct Request {
     body: Body,
+    work: Option<Millis>,
     class: usize,
     tenant: Option<usize>,
     in_share: bool,
@@ -180,6 +181,7 @@
     streaming: bool,
 }
 
+#[derive(Clone, Copy)]
 struct Attempt {
     server: ServerId,
     zone: u64,
@@ -197,6 +199,8 @@
 struct ClassStats {
     /// Mean time to an answer.
     mean: Millis,
+    /// Mean work of those that were answered, as far as clients guess it.
+    work: Millis,
     seen: u32,
     /// By how much of its aim answers exceed the target, on average.
     excess: f64,
@@ -320,7 +324,13 @@
         let classes = settings
             .classes
             .iter()
-            .map(|c| ClassStats { mean: c.aim / 4.0, seen: 0, excess: 0.0, most_left: f64::NEG_INFINITY })
+            .map(|c| ClassStats {
+                mean: c.aim / 4.0,
+                work: 0.0,
+                seen: 0,
+                excess: 0.0,
+                most_left: f64::NEG_INFINITY,
+            })
             .collect();
         let care = || Served { asked: Rate::new(), served: Rate::new() };
         let class_served = settings.classes.iter().map(|_| care()).collect();
@@ -369,9 +379,23 @@
                 self.regroup();
             }
             Event::Enable { server, returned } => self.on_enabled(server, returned),
-            Event::Request { id, class, tenant, deadline, coming, again } => {
+            Event::Request { id, class, tenant, deadline, coming, again, work } => {
                 let body = if coming { Body::Coming } else { Body::Kept };
-                self.on_request(id, class, tenant, deadline, body, again, actions);
+                let (asked, came, attempts) = (now, now, Vec::new());
+                let (in_share, streaming) = (true, false);
+                let request = Request {
+                    body,
+                    work,
+                    class,
+                    tenant,
+                    in_share,
+                    asked,
+                    came,
+                    deadline,
+                    attempts,
+                    streaming,
+                };
+                self.on_request(id, request, again, actions);
             }
             Event::Whole { id, deadline } => self.on_whole(id, deadline),
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt, actions),
@@ -814,40 +838,27 @@
 
     // ---- Requests ----
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_request(
-        &mut self,
-        id: RequestId,
-        class: usize,
-        tenant: Option<usize>,
-        deadline: Millis,
-        body: Body,
-        again: bool,
-        actions: &mut Vec<Action>,
-    ) {
+    fn on_request(&mut self, id: RequestId, mut request: Request, again: bool, actions: &mut Vec<Action>) {
         if self.requests.contains_key(&id) {
             // An id never comes twice. To answer the repeat would be to answer the first, which is still
             // owed, and to send for it afterwards.
             return;
         }
-        if class >= self.set.classes.len() {
+        if request.class >= self.set.classes.len() {
             actions.push(Action::Fail(id));
             return;
         }
         self.retry_budget = (self.retry_budget + RETRY_BUDGET_SHARE).min(RETRY_BUDGET_MAX);
         let size: f64 = self.rotated().map(|s| s.size * s.warmth(self.now, &self.set.rules)).sum();
         self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
-        let tenant = tenant.filter(|t| *t < self.set.tenants.len());
-        let in_share = tenant.is_none_or(|t| self.take_quota(t));
-        let attempts = Vec::new();
-        let came = self.now;
-        let asked = came - self.age(class, deadline, again);
-        let streaming = false;
-        let request = Request { body, class, tenant, in_share, asked, came, deadline, attempts, streaming };
+        request.tenant = request.tenant.filter(|t| *t < self.set.tenants.len());
+        request.in_share = request.tenant.is_none_or(|t| self.take_quota(t));
+        request.asked -= self.age(request.class, request.deadline, again);
         self.tally(&request, |care| &mut care.asked);
-        // An attempt is given up when it is of no more use; so a repeat that can't be in time is not begun.
-        // It would only take the work of others that can.
-        let hopeless = again && self.worth_until(&request) - came < self.classes[class].mean;
+        // An attempt is given up when it is of no more use. So what can't be in time, as it is a late repeat
+        // or more work than there is time for, is not begun: it would only take the work of others that can.
+        let hopeless = (again || self.extra(&request) > 0.0)
+            && self.worth_until(&request) - self.now < self.usual(&request);
         self.requests.insert(id, request);
         if hopeless {
             self.conclude(id, actions);
@@ -976,6 +987,18 @@
         (request.asked + aim - self.set.tick).min(request.deadline)
     }
 
+    /// How long its answer would take by what is usual for its class, and by how its work differs from that.
+    fn usual(&self, request: &Request) -> Millis {
+        let class = &self.classes[request.class];
+        (class.mean + self.extra(request)).max(0.0)
+    }
+
+    /// Its work beyond what is usual for its class.
+    fn extra(&self, request: &Request) -> Millis {
+        let usual = self.classes[request.class].work;
+        request.work.filter(|_| usual > 0.0).map_or(0.0, |work| work - usual)
+    }
+
     /// Until when an answer is worth anything.
     fn worth_until(&self, request: &Request) -> Millis {
         let late = self.set.classes[request.class].late_worth > 0.0;
@@ -1022,9 +1045,9 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
-        let (class, at_limit, alone) = (request.class, ended.at_limit, ended.alone);
-        let open = request.pending() || request.streaming;
-        self.learn(server, class, outcome, took, at_limit, alone);
+        let (class, ended) = (request.class, *ended);
+        let (work, open) = (request.work, request.pending() || request.streaming);
+        self.learn(class, work, ended, outcome, took);
         if finished {
             if let Some(request) = self.requests.remove(&id) {
                 if now - request.asked <= self.set.classes[class].aim {
@@ -1040,15 +1063,8 @@
     }
 
     /// What the end of an attempt says of its server's pace, for the limit, the share and the usual times.
-    fn learn(
-        &mut self,
-        id: ServerId,
-        class: usize,
-        outcome: Outcome,
-        took: Millis,
-        at_limit: bool,
-        alone: bool,
-    ) {
+    fn learn(&mut self, class: usize, work: Option<Millis>, of: Attempt, outcome: Outcome, took: Millis) {
+        let Attempt { server: id, at_limit, alone, .. } = of;
         let (now, rules, done) = (self.now, &self.set.rules, outcome == Outcome::Done);
         let (first, least_limit) = (self.first_limit(), self.least_limit());
         let part = match outcome {
@@ -1070,7 +1086,10 @@
         let pace = &mut self.classes[class];
         if done {
             pace.seen = pace.seen.saturating_add(1);
-            pace.mean += (took - pace.mean) / f64::from(pace.seen.min(200));
+            let part = 1.0 / f64::from(pace.seen.min(200));
+            pace.mean += (took - pace.mean) * part;
+            // A guess is believed no further than the time that it took.
+            pace.work += work.map_or(0.0, |work| (work.clamp(0.0, took) - pace.work) * part);
         }
         // A fleet that slows down at once is seen by all its answers long before each limit has heard enough
         // of its own. Where half as many are late as come well in time, there is too much out.
@@ -1116,7 +1135,7 @@
     fn further(&mut self, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let class = &self.set.classes[request.class];
-        let time = self.worth_until(request) - self.now > self.classes[request.class].mean;
+        let time = self.worth_until(request) - self.now > self.usual(request);
         let free = outcome.never_ran();
         let may =
             self.rotated().any(|s| request.may_repeat(class, &self.set.limits, self.now, Some(&s.entry)));
@@ -1163,7 +1182,7 @@
             let Some(request) = self.requests.get(&id) else { continue };
             let class = request.class;
             // As long as an answer may still come in time.
-            let spare = self.useful_until(request) - self.classes[class].mean;
+            let spare = self.useful_until(request) - self.usual(request);
             let end = if request.attempts.is_empty() {
                 // In a lasting overload a long hold helps nobody: all that is served has lost its time.
                 let aim = self.set.classes[class].aim;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,7 +29,7 @@
 //! let (mut actions, server) = (Vec::new(), ServerId(7));
 //! let up = Entry { server, zone: 0, cell: 0, kind: 0, state: Listed::Up, weight: 1.0, started: None };
 //! balancer.handle(0.0, Event::List { entries: vec![up], saved: false }, &mut actions);
-//! let request = Event::Request { id: RequestId(1), class: 0, tenant: None, deadline: 500.0, coming: false, again: false };
+//! let request = Event::Request { id: RequestId(1), class: 0, tenant: None, deadline: 500.0, coming: false, again: false, work: None };
 //! balancer.handle(1.0, request, &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: to, .. } if *to == server)));
 //! # Ok::<(), SettingsError>(())
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -60,6 +60,8 @@
 
 const TXN: HeaderName = HeaderName::from_static("x-txn");
 const ORG: HeaderName = HeaderName::from_static("x-org");
+/// A client's guess at the work.
+const ESTIMATE: HeaderName = HeaderName::from_static("x-estimate");
 /// Marks a client's repeat.
 const RESENT: HeaderName = HeaderName::from_static("x-resent");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -72,6 +74,8 @@
     pub tenant: Option<usize>,
     /// Its client marks it as a repeat.
     pub again: bool,
+    /// Its client's guess at its work.
+    pub work: Option<Millis>,
     /// Its method.
     pub method: Method,
     /// Path and query.
@@ -130,6 +134,7 @@
             class: 0,
             tenant: None,
             again: false,
+            work: None,
             method: Method::GET,
             uri,
             headers,
@@ -540,11 +545,14 @@
     };
     let mut headers = end_to_end(&parts.headers);
     headers.remove(REMAINING);
+    // Microseconds; a guess that can't be read is none.
+    let work = headers.get(ESTIMATE).and_then(|v| v.to_str().ok()?.parse::<u32>().ok());
+    let work = work.map(|us| f64::from(us) / 1000.0);
     let again = headers.get(RESENT).is_some_and(|v| v == "1");
     if !headers.contains_key(HOST) {
         headers.insert(HOST, HeaderValue::from_static("service.internal"));
     }
-    Ok((Asked { class, tenant, again, method: parts.method, uri, headers, body }, remaining))
+    Ok((Asked { class, tenant, again, work, method: parts.method, uri, headers, body }, remaining))
 }
 
 /// Checks what a request must bring, and gives its time.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -330,7 +330,7 @@
         deadline: Instant,
     ) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, answered) = oneshot::channel();
-        let (class, tenant, again) = (asked.class, asked.tenant, asked.again);
+        let (class, tenant, again, work) = (asked.class, asked.tenant, asked.again, asked.work);
         let coming = asked.body.passage().is_some();
         let id = {
             let mut state = self.state.borrow_mut();
@@ -340,7 +340,15 @@
             state.requests.insert(id, open);
             id
         };
-        self.feed(Event::Request { id, class, tenant, deadline: self.clock.at(deadline), coming, again });
+        self.feed(Event::Request {
+            id,
+            class,
+            tenant,
+            deadline: self.clock.at(deadline),
+            coming,
+            again,
+            work,
+        });
         (id, answered)
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -9,7 +9,9 @@
 use crate::api::*;
 use crate::balance::Balancer;
 
-/// The bit of a request's marks that says its client repeats it.
+/// The bit of a request's marks that says its client's guess at the work holds.
+const GUESSED: u64 = 1;
+/// The bit that says its client repeats it.
 const REPEAT: u64 = 2;
 
 /// A line that cannot be understood.
@@ -357,6 +359,7 @@
                 deadline: number(at(5), "DropDead")?,
                 coming: false,
                 again: at(7).as_u64().is_some_and(|marks| marks & REPEAT != 0),
+                work: at(6).as_f64().filter(|_| at(7).as_u64().is_some_and(|marks| marks & GUESSED != 0)),
             },
             "STREAMING" => Event::Streaming { id: id()?, attempt: attempt()? },
             "RESPONSE" => Event::Ended {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -108,15 +108,41 @@
         let id = RequestId(self.next);
         self.next += 1;
         let deadline = self.now + left;
-        (id, self.event(Event::Request { id, class, tenant, deadline, coming: false, again: false }))
+        (
+            id,
+            self.event(Event::Request {
+                id,
+                class,
+                tenant,
+                deadline,
+                coming: false,
+                again: false,
+                work: None,
+            }),
+        )
     }
 
     /// A marked repeat of a request, whose client gives up after `left`.
     pub fn ask_again(&mut self, class: usize, left: f64) -> (RequestId, Vec<Action>) {
+        self.ask_marked(class, left, true, None)
+    }
+
+    /// A request whose client guesses its work.
+    pub fn ask_guessed(&mut self, class: usize, work: f64) -> (RequestId, Vec<Action>) {
+        self.ask_marked(class, PATIENCE, false, Some(work))
+    }
+
+    fn ask_marked(
+        &mut self,
+        class: usize,
+        left: f64,
+        again: bool,
+        work: Option<f64>,
+    ) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next);
         self.next += 1;
         let deadline = self.now + left;
-        (id, self.event(Event::Request { id, class, tenant: None, deadline, coming: false, again: true }))
+        (id, self.event(Event::Request { id, class, tenant: None, deadline, coming: false, again, work }))
     }
 
     /// A request whose body is still coming.
@@ -124,7 +150,18 @@
         let id = RequestId(self.next);
         self.next += 1;
         let deadline = self.now + PATIENCE;
-        (id, self.event(Event::Request { id, class, tenant: None, deadline, coming: true, again: false }))
+        (
+            id,
+            self.event(Event::Request {
+                id,
+                class,
+                tenant: None,
+                deadline,
+                coming: true,
+                again: false,
+                work: None,
+            }),
+        )
     }
 
     /// Ends the request's newest attempt.
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -139,6 +139,7 @@
                     deadline,
                     coming: false,
                     again: false,
+                    work: None,
                 });
             }
             Step::End(i, outcome) => {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -625,6 +625,23 @@
     assert!(sent_to(&actions).is_some(), "one that is not marked may have little patience: {actions:?}");
 }
 
+/// SAFE is wanted within 100 ms, and the servers' answers show what its usual work takes.
+#[test]
+fn more_work_than_there_is_time_for_is_not_begun() {
+    let mut node = Node::fleet(settings(), 4);
+    for _ in 0..20 {
+        let (id, _) = node.ask_guessed(SAFE, 10.0);
+        node.now += 12.0;
+        node.end(id, Outcome::Done);
+    }
+    let (heavy, actions) = node.ask_guessed(SAFE, 150.0);
+    assert!(refused(&actions, heavy) && sent_to(&actions).is_none(), "{actions:?}");
+    let (_, actions) = node.ask_guessed(SAFE, 60.0);
+    assert!(sent_to(&actions).is_some(), "{actions:?}");
+    let (_, actions) = node.ask(SAFE);
+    assert!(sent_to(&actions).is_some(), "one without a guess: {actions:?}");
+}
+
 /// Guards rule 1: the repeat was answered as failed, and the first was sent or answered once more.
 #[test]
 fn a_request_id_handed_in_again_changes_nothing() {
@@ -637,6 +654,7 @@
         deadline: node.now + PATIENCE,
         coming: false,
         again: false,
+        work: None,
     };
     let actions = node.event(again.clone());
     assert!(!failed(&actions, id) && !refused(&actions, id), "{actions:?}");
