Take a longer shot at heavy or late requests while none is refused for want of room

Cause: what is begun in vain costs others only where they lack room, and the refusal of what is likely late did not ask whether they do.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -96,6 +96,8 @@
     crowd: f64,
     /// Since when some have been held without a break.
     held_since: Option<Millis>,
+    /// When one was last refused that no server had room for.
+    shed: Millis,
     classes: Vec<ClassStats>,
     /// Factor to all limits where it is below 1: how far the fleet as a whole has slowed down.
     fleet: f64,
@@ -352,6 +354,7 @@
             cursor_at: None,
             crowd: 1.0,
             held_since: None,
+            shed: f64::NEG_INFINITY,
             classes,
             fleet: 1.0,
             class_served,
@@ -860,8 +863,11 @@
         self.tally(&request, |care| &mut care.asked);
         // An attempt is given up when it is of no more use. So what can't be in time, as it is a late repeat
         // or more work than there is time for, is not begun: it would only take the work of others that can.
-        let hopeless = (again || self.extra(&request) > 0.0)
-            && self.worth_until(&request) - self.now < self.usual(&request);
+        // While none is refused for want of room, a longer shot is taken the more the fleet has in reserve.
+        let room = self.now - self.shed > self.set.rules.fall_window;
+        let reserve = if room { self.fleet.max(1.0) } else { 1.0 };
+        let left = (self.worth_until(&request) - self.now) * reserve;
+        let hopeless = (again || self.extra(&request) > 0.0) && left < self.usual(&request);
         self.requests.insert(id, request);
         if hopeless {
             self.conclude(id, actions);
@@ -1198,6 +1204,9 @@
             if self.now <= end.min(request.deadline - last) {
                 held.push(id);
             } else {
+                if request.attempts.is_empty() {
+                    self.shed = self.now;
+                }
                 self.conclude(id, actions);
             }
         }
