--- a/crates/stoneshift/src/model.rs
+++ b/crates/stoneshift/src/model.rs
@@ -25,10 +25,10 @@
     #[arg(long)]
     seed: Option<u64>,
     /// How many draws, from that seed on.
-    #[arg(long, default_value_t = 1)]
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
     draws: u64,
     /// Nodes, in place of the file's.
-    #[arg(long)]
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=1000))]
     nodes: Option<u32>,
     /// Where each draw's result and plots go; without it, nowhere.
     #[arg(long)]
@@ -50,7 +50,7 @@
         }
         let first = self.seed.unwrap_or(plan.seed);
         let mut held = true;
-        for seed in first..first.saturating_add(self.draws.max(1)) {
+        for seed in first..first.saturating_add(self.draws) {
             let draw = Rc::new(Draw::new(&plan, seed));
             println!(
                 "{}: seed {seed}, {} nodes, {} servers, {} requests",
--- a/crates/stoneshift/tests/lab.rs
+++ b/crates/stoneshift/tests/lab.rs
@@ -60,6 +60,35 @@
     assert_eq!(result["faults"][0]["targets"], 1);
 }
 
+#[test]
+fn the_model_and_a_curve_of_it_are_played_without_processes() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (file, out) = (folder.path().join("x.toml"), folder.path().join("out"));
+    std::fs::write(&file, format!("schema = 1\nname = \"x\"\nlength_s = 4\n{SMALL}")).expect("a file");
+    let call = |what: &str, more: &[&str]| {
+        let mut command = Command::new(program());
+        command.args(["lab", what]).arg(&file).arg("--out").arg(&out).args(more).output().expect("it runs")
+    };
+    let model = call("model", &["--seed", "5", "--seconds"]);
+    let words = String::from_utf8_lossy(&model.stdout).into_owned();
+    assert!(model.status.success() && words.contains("verdict: held"), "{words}");
+    assert_eq!(words.matches("servers usable").count(), words.matches("a node: ").count());
+    assert!(out.join("5/result.json").is_file() && out.join("5/run.svg").is_file());
+
+    let curve = call("curve", &["--from", "0.5", "--to", "1.5", "--loads", "2", "--draws", "1"]);
+    assert!(curve.status.success(), "{}", said(&curve));
+    let text = std::fs::read_to_string(out.join("curve.json")).expect("written");
+    let curve: Value = serde_json::from_str(&text).expect("JSON");
+    assert!(curve["points"][1]["goodput"][1].as_f64() > Some(0.4), "{curve}");
+    assert!(out.join("curve.svg").is_file());
+
+    for (more, words) in [("--from=-1", "--from: a load above 0"), ("--draws=0", "--draws: 1 to 100")] {
+        let wrong = call("curve", &[more]);
+        assert_eq!(wrong.status.code(), Some(2));
+        assert!(said(&wrong).contains(words) && said(&wrong).lines().count() == 1, "{}", said(&wrong));
+    }
+}
+
 #[test]
 fn what_must_hold_and_does_not_is_told_by_the_exit_code() {
     let text = "length_s = 2\n[fleet]\nservers = 4\n[load]\nof_capacity = 0.2\n[hold]\nserved = 1.01\n";
