--- a/crates/lab/src/modules/mod.rs
+++ b/crates/lab/src/modules/mod.rs
@@ -1,7 +1,7 @@
 //! The decision modules of all nodes, played in the virtual clock against the same world as the real ones.
 //!
 //! Need: causes that lie in what many nodes do together have to be told apart, with every server's true state at hand,
-//! in seconds and alike each time; and a mend needs a test without sockets. Shape: [`node::Node`] is what is round the
+//! in seconds and alike each time; and a mend needs a test without sockets. Shape: `node` is what is round the
 //! module in a process, as far as decisions depend on it (open requests, attempts, kept connections); [`Fleet`] hands
 //! the world's messages to the nodes and back. Nothing here takes processor time, and no descriptor is ever short.
 //!
