--- a/crates/lab/src/curve/mod.rs
+++ b/crates/lab/src/curve/mod.rs
@@ -18,8 +18,7 @@
 use crate::draw::Draw;
 use crate::modules;
 use crate::plan::{Plan, PlanError, Range};
-use crate::result::recovery;
-use crate::world::World;
+use crate::result::{recovery, service};
 
 pub use self::plot::write as write_plot;
 
@@ -66,18 +65,6 @@
     pub points: Vec<Point>,
 }
 
-/// Worth served over worth asked for.
-fn served(world: &World) -> f64 {
-    let classes = world.draw().classes.len();
-    world.tally().share(0..classes, 0..world.draw().length.div_ceil(1_000_000) as usize)
-}
-
-fn worst_class(world: &World) -> f64 {
-    let seconds = world.draw().length.div_ceil(1_000_000) as usize;
-    let share = |class| world.tally().share(class..class + 1, 0..seconds);
-    (0..world.draw().classes.len()).map(share).fold(1.0, f64::min)
-}
-
 /// What one draw comes to at one load.
 struct Played {
     served: f64,
@@ -100,9 +87,9 @@
 fn play(plan: &Plan, load: f64, seed: u64) -> Result<Played, String> {
     let steady = at(plan, load, "").map_err(|e| e.to_string())?;
     let draw = Rc::new(Draw::new(&steady, seed));
-    let world = modules::play(&steady, &draw, None)?;
-    let [random, oracle] =
-        [Policy::Random, Policy::Oracle].map(|policy| served(&baseline::play(&draw, &steady.rules, policy)));
+    let own = service(&modules::play(&steady, &draw, None)?);
+    let [random, oracle] = [Policy::Random, Policy::Oracle]
+        .map(|policy| service(&baseline::play(&draw, &steady.rules, policy)).served);
     let recover_s = if load > 1.0 {
         let (from, span) = BURST;
         let burst =
@@ -113,7 +100,7 @@
     } else {
         None
     };
-    Ok(Played { served: served(&world), worst_class: worst_class(&world), random, oracle, recover_s })
+    Ok(Played { served: own.served, worst_class: own.worst_class, random, oracle, recover_s })
 }
 
 /// Plays a plan's fleet at each load, on draws of these seeds. `progress` hears how many plays of how many are done.
