Keep a server's id with its attempt in the model, and one way to ask in the tests

Found on rereading: the virtual nodes looked each attempt's server up by searching their list, and kept start times that nobody read; three functions of the tests made the same event.

--- a/crates/lab/src/modules/node.rs
+++ b/crates/lab/src/modules/node.rs
@@ -55,6 +55,7 @@
 }
 
 struct Try {
+    id: ServerId,
     server: usize,
     sent: Us,
     over: bool,
@@ -75,7 +76,7 @@
     requests: BTreeMap<RequestId, Open>,
     /// Kept connections by server, each with its life and since when it has been idle.
     idle: BTreeMap<usize, Vec<(u32, Us)>>,
-    servers: BTreeMap<ServerId, (usize, f64)>,
+    servers: BTreeMap<ServerId, usize>,
     zones: Vec<String>,
     version: u64,
     watching: bool,
@@ -156,11 +157,11 @@
             self.balancer.handle(millis(now), event, &mut actions);
             for action in actions {
                 match action {
-                    Action::Send { id, server, timeout } => {
-                        let Some((server, _)) = self.servers.get(&server).copied() else { continue };
+                    Action::Send { id, server: to, timeout } => {
+                        let Some(server) = self.servers.get(&to).copied() else { continue };
                         let Some(open) = self.requests.get_mut(&id) else { continue };
                         let attempt = open.tries.len();
-                        open.tries.push(Try { server, sent: now, over: false, written: None });
+                        open.tries.push(Try { id: to, server, sent: now, over: false, written: None });
                         let until = now + ms(timeout.unwrap_or(1e6));
                         wants.push(Want::Send { id, attempt, server, until });
                     }
@@ -217,8 +218,7 @@
         finished: bool,
     ) -> Option<Event> {
         let out = self.requests.get(&id)?.tries.get(attempt)?;
-        let server = self.servers.iter().find(|(_, (index, _))| *index == out.server).map(|(id, _)| *id)?;
-        Some(Event::Ended { id, attempt, server, outcome, took: millis(now - out.sent), finished })
+        Some(Event::Ended { id, attempt, server: out.id, outcome, took: millis(now - out.sent), finished })
     }
 
     /// A client's request.
@@ -370,7 +370,7 @@
                 Health::Left => Listed::Gone,
             };
             if let Some(dial) = host.dial {
-                self.servers.insert(server, (usize::from(dial.port()) - 1, host.born_ms));
+                self.servers.insert(server, usize::from(dial.port()) - 1);
             }
             let zone = self.zones.iter().position(|z| *z == host.zone).unwrap_or(0) as u64;
             let started = (host.born_ms > 0.0).then_some(host.born_ms);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -105,36 +105,23 @@
 
     /// A request whose client gives up after `left`.
     pub fn ask_with(&mut self, class: usize, tenant: Option<usize>, left: f64) -> (RequestId, Vec<Action>) {
-        let id = RequestId(self.next);
-        self.next += 1;
-        let deadline = self.now + left;
-        (
-            id,
-            self.event(Event::Request {
-                id,
-                class,
-                tenant,
-                deadline,
-                coming: false,
-                again: false,
-                work: None,
-            }),
-        )
+        self.ask_marked(class, tenant, left, false, None)
     }
 
     /// A marked repeat of a request, whose client gives up after `left`.
     pub fn ask_again(&mut self, class: usize, left: f64) -> (RequestId, Vec<Action>) {
-        self.ask_marked(class, left, true, None)
+        self.ask_marked(class, None, left, true, None)
     }
 
     /// A request whose client guesses its work.
     pub fn ask_guessed(&mut self, class: usize, work: f64) -> (RequestId, Vec<Action>) {
-        self.ask_marked(class, PATIENCE, false, Some(work))
+        self.ask_marked(class, None, PATIENCE, false, Some(work))
     }
 
     fn ask_marked(
         &mut self,
         class: usize,
+        tenant: Option<usize>,
         left: f64,
         again: bool,
         work: Option<f64>,
@@ -142,7 +129,7 @@
         let id = RequestId(self.next);
         self.next += 1;
         let deadline = self.now + left;
-        (id, self.event(Event::Request { id, class, tenant: None, deadline, coming: false, again, work }))
+        (id, self.event(Event::Request { id, class, tenant, deadline, coming: false, again, work }))
     }
 
     /// A request whose body is still coming.
