Keep the timers that a starting node asks for in the model

Found on rereading: Fleet::ready dropped what the module wanted when it took its saved list, so that a node that was restarted among cold servers missed its first timer.

--- a/crates/lab/src/modules/mod.rs
+++ b/crates/lab/src/modules/mod.rs
@@ -296,10 +296,10 @@
         let version = self.world.version(node);
         let saved = self.world.line(node, 0, version);
         if let Some(n) = &mut self.nodes[node] {
-            n.list(self.now, saved, true);
             n.watch(true);
-            let alive = n.alive(self.now);
-            self.want(node, alive);
+            let mut wants = n.list(self.now, saved, true);
+            wants.extend(n.alive(self.now));
+            self.want(node, wants);
         }
         self.world.told(self.now, node, version);
         self.at(node, self.now + LOOK, Wake::Look);
