Agree the types of the agreed log, the roster and a change of policy

Need: a change of policy has to take hold at every node or at none, and its parts are to be built side by side.

Design: crates/member says how a member stages a change, promises to take nothing new from a deadline on, and how time is only ever a duration on one process's clock (a beat echoes the leader's stamp, so that the leader's count of a promise never exceeds the member's). crates/control has the log's commands, crates/consensus the machine that the log drives, crates/store and crates/relay their need and shape. Rejected options stand in each crate's doc.

No behaviour changes; nothing uses the crates yet.

--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,17 @@
+//! What the fleet agrees on, as pure state machines on one log, and the replica's edge round them.
+//!
+//! | module | what it knows |
+//! | --- | --- |
+//! | [`command`] | the log's commands, one enum a module, and what comes of them |
+//! | `roster` | which processes are members: join, leave, proven ended, removed |
+//! | `policy` | the agreed epoch, the change under way, how changes ended |
+//! | `machine` | both on the log: [`consensus::Machine`] |
+//! | `leader` | pure too, but not on the log: sessions, promises and leases by one leader's monotonic clock; what it would have written, answered and asked |
+//! | `edge` | HTTP: nodes' beats and watches, operators' calls, the replicas' own messages |
+//!
+//! Adding a subject (votes, the list, the catalog) is adding a module, its commands and its part of the snapshot.
+//!
+//! Rejected: staging acknowledged in the log, an entry a node: at 300 nodes a change would cost 300 synced writes where
+//! one does; the leader's memory is enough, as members say again what they have staged to whoever leads next.
+
+pub mod command;
--- /dev/null
+++ b/crates/member/src/messages.rs
@@ -0,0 +1,187 @@
+//! What goes over the wire between a node and the control group: JSON over HTTP/1.1.
+//!
+//! | call | who answers | |
+//! | --- | --- | --- |
+//! | `POST /v1/session`, a [`Beat`] | the leader; others 503 with a [`NotLeader`] | an [`Answer`] |
+//! | `GET /v1/watch?from=VERSION` | every replica | a chunked body of [`News`], one JSON object a line; an empty line each 2 s |
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Millis, Policy};
+
+/// The number of an agreed policy; 0 is the settings that each node was started with. Grows by one a commit.
+pub type Epoch = u64;
+
+/// Which process of a node speaks.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Process {
+    /// The node's name.
+    pub name: String,
+    /// Drawn by the process at its start; never the same again.
+    pub boot: u64,
+}
+
+/// What a member tells the leader, now and then. The first one of a process asks to join.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    /// Who speaks.
+    pub process: Process,
+    /// Where this very process listens as long as it lives: a connection refused there proves that it has ended.
+    pub life: SocketAddr,
+    /// An older process of this node may go on beside this one until its own session ends (a hot upgrade).
+    #[serde(default)]
+    pub beside: bool,
+    /// The [`Stamp`] of the newest answer that this process has had from any leader.
+    #[serde(default)]
+    pub echo: Option<Stamp>,
+    /// The epoch that it judges new requests by; `None` while it knows none and takes nothing.
+    #[serde(default)]
+    pub active: Option<Epoch>,
+    /// What it says of the change that is under way.
+    #[serde(default)]
+    pub change: Option<Word>,
+    /// It has nothing open and ends: its session closes.
+    #[serde(default)]
+    pub bye: bool,
+}
+
+/// What a member says of a change.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Word {
+    /// It keeps the change beside the present policy, and takes nothing new from `left_ms` after this beat's sending
+    /// on unless it knows by then what became of it.
+    Staged {
+        /// The change.
+        change: ChangeId,
+        /// What is left of its promise when this beat is sent.
+        left_ms: Millis,
+    },
+    /// It can't bear the change.
+    Refused {
+        /// The change.
+        change: ChangeId,
+        /// Why, for the operator: one line.
+        words: String,
+    },
+}
+
+/// A change, never the same again: the version of the log at which it was proposed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ChangeId(pub u64);
+
+/// A leader's own time when it wrote an answer, and in which term it leads. Another term's clock says nothing.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Stamp {
+    /// The term.
+    pub term: u64,
+    /// Its time.
+    pub at: Millis,
+}
+
+/// What the leader answers to a beat.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Answer {
+    /// To be echoed.
+    pub stamp: Stamp,
+    /// What is agreed.
+    pub agreed: Agreed,
+    /// How long after this one the next beat should be sent.
+    pub beat_ms: Millis,
+    /// For how long after the beat's sending the member may take new requests, where the fleet is fenced; counts only
+    /// for a process that judges by `agreed.epoch`. `None` in a beat's answer of a fenced fleet grants nothing.
+    #[serde(default)]
+    pub lease_ms: Option<Millis>,
+    /// The fleet is fenced: without a lease nothing new is taken.
+    #[serde(default)]
+    pub fenced: bool,
+    /// For how long after the beat's sending a promise about a change lasts.
+    pub promise_ms: Millis,
+    /// A newer process of this node has taken its place (or operators have removed it): it takes nothing new any more.
+    #[serde(default)]
+    pub superseded: bool,
+}
+
+/// What the log says of policy, at one of its versions.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Agreed {
+    /// The log's version (index) that this was read at. Of two, the one with the greater version is newer.
+    pub version: u64,
+    /// The agreed epoch.
+    pub epoch: Epoch,
+    /// Its policy.
+    pub policy: Policy,
+    /// The change under way.
+    #[serde(default)]
+    pub change: Option<Change>,
+    /// How the last changes ended, newest last; at least the newest one, where there was one.
+    #[serde(default)]
+    pub ended: Vec<Ended>,
+}
+
+/// A change under way.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Change {
+    /// Which.
+    pub id: ChangeId,
+    /// The epoch that it becomes when it commits.
+    pub epoch: Epoch,
+    /// The policy.
+    pub policy: Policy,
+}
+
+/// How a change ended.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Ended {
+    /// Which.
+    pub id: ChangeId,
+    /// The epoch that it became, or would have.
+    pub epoch: Epoch,
+    /// `None`: it was committed.
+    #[serde(default)]
+    pub aborted: Option<Abort>,
+}
+
+/// Why a change was aborted.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Abort {
+    /// A member refused it.
+    Refused {
+        /// The node.
+        node: String,
+        /// Its words.
+        words: String,
+    },
+    /// Members were silent, or did not stage it in time.
+    Silent {
+        /// The nodes; the first few where there are many.
+        nodes: Vec<String>,
+    },
+    /// Operators called it off.
+    Operator,
+    /// The group had no leader that could end it in time.
+    Late,
+}
+
+/// A line of the watch.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct News {
+    /// What is agreed on policy; `None` where the line tells of something else.
+    #[serde(default)]
+    pub agreed: Option<Agreed>,
+    /// The log's version that the line brings the watcher to.
+    pub version: u64,
+}
+
+/// Said by a replica that does not lead, with status 503.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct NotLeader {
+    /// What failed, and what to do.
+    pub error: String,
+    /// Where the leader is, as far as this replica knows.
+    #[serde(default)]
+    pub leader: Option<SocketAddr>,
+}
