--- /dev/null
+++ b/crates/store/src/error.rs
@@ -0,0 +1,103 @@
+//! What may go wrong on a disk, and what an operator can do about it.
+
+use std::io;
+
+use crate::Owner;
+
+/// Why the disk did not do what was asked. After any of them but [`StoreError::Order`] and [`StoreError::TooLarge`] a
+/// change that was asked for has happened whole or not at all; reading tells which.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// No room. What is there can still be read.
+    #[error("{place}: the disk is full")]
+    Full {
+        /// Which disk.
+        place: String,
+    },
+    /// What is there is not what was written.
+    #[error("{place} is damaged: {what}")]
+    Damaged {
+        /// Which disk.
+        place: String,
+        /// What does not hold, in a few words.
+        what: String,
+    },
+    /// Another replica's disk.
+    #[error(
+        "{place} belongs to replica {} of cluster {:?}, not to replica {} of cluster {:?}",
+        found.replica, found.cluster, wanted.replica, wanted.cluster
+    )]
+    Owner {
+        /// Which disk.
+        place: String,
+        /// Whose it is.
+        found: Owner,
+        /// Who asked for it.
+        wanted: Owner,
+    },
+    /// Written by a later version of the program.
+    #[error("{place} has schema {found}, and this program knows schemas up to {known}")]
+    Newer {
+        /// Which disk.
+        place: String,
+        /// Its schema.
+        found: u64,
+        /// The newest one that this program knows.
+        known: u64,
+    },
+    /// Another process has it open.
+    #[error("{place} is in use by another process")]
+    Busy {
+        /// Which disk.
+        place: String,
+    },
+    /// The disk or its directory failed otherwise.
+    #[error("{place}: {source}")]
+    Io {
+        /// Which disk.
+        place: String,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The caller's entries don't follow the log. Nothing has changed.
+    #[error("{place}: entry {given} does not follow the log, where {expected} comes next")]
+    Order {
+        /// Which disk.
+        place: String,
+        /// The index that comes next.
+        expected: u64,
+        /// The index that came.
+        given: u64,
+    },
+    /// More than is kept in one piece. Nothing has changed.
+    #[error("{place}: {what} of {bytes} bytes, and at most {most} are kept in one piece")]
+    TooLarge {
+        /// Which disk.
+        place: String,
+        /// What was to be kept.
+        what: &'static str,
+        /// Its size.
+        bytes: usize,
+        /// The bound.
+        most: usize,
+    },
+}
+
+impl StoreError {
+    /// What an operator can do about it: one line.
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Self::Full { .. } => "make room on this disk: the replica goes on by itself, nothing has to be restarted",
+            Self::Damaged { .. } => {
+                "don't mend it: check the hardware, set this directory aside, and let this replica be replaced as a new \
+                 one, which copies everything from the others"
+            }
+            Self::Owner { .. } => "point this replica at its own directory, or give it an empty one",
+            Self::Newer { .. } => "start the version of the program that wrote it, or a later one",
+            Self::Busy { .. } => "end the other process first, or give this replica a directory of its own",
+            Self::Io { .. } => "check that the directory exists and may be written, and the disk's health",
+            Self::Order { .. } => "this is a fault of the program: report it with its log",
+            Self::TooLarge { .. } => "make what is kept smaller: a bound of the program was reached",
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/faults.rs
@@ -0,0 +1,1 @@
+//! A disk in memory that fails as disks do, for tests.
