Agree on a log: replicas on the consensus library, JSON over HTTP/1.1 and the store

Need: roster and policy must survive the loss of a minority, acknowledged only once on the disks of a majority.

--- /dev/null
+++ b/crates/consensus/src/config.rs
@@ -0,0 +1,125 @@
+//! A replica's place in its group, its times and its bounds.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use openraft::SnapshotPolicy;
+
+use crate::ConsensusError;
+
+/// The most replicas that form a group.
+const PEERS_MOST: usize = 9;
+/// The most bytes of a cluster's name.
+const NAME_MOST: usize = 64;
+/// The most bytes that a command may be allowed: twice this fits in a body of [`crate::BODY_MOST`] with all round it.
+const COMMAND_MOST: usize = 2 << 20;
+
+/// What a replica is started with. [`ReplicaConfig::new`] has the defaults; all durations are in milliseconds.
+#[derive(Clone, Debug)]
+pub struct ReplicaConfig {
+    /// This replica's number. One that has left the group, or lost its disk, must not be used again.
+    pub id: u64,
+    /// The cluster's name; replicas of another are refused.
+    pub cluster: String,
+    /// Where the other replicas reach this one.
+    pub address: SocketAddr,
+    /// The replicas whose first start forms the group, this one among them; the same map at each. On later starts what
+    /// is on the disk counts. A replica that is not among them waits until it is added by [`crate::Replica::set_peer`].
+    pub peers: BTreeMap<u64, SocketAddr>,
+    /// The time between a leader's heartbeats, and the bound of each message to a replica.
+    pub heartbeat_ms: u64,
+    /// Each replica draws from this span how long it waits for a leader's heartbeat before it wants to lead. The
+    /// upper end is also how long it refuses other candidates after a heartbeat.
+    pub election_ms: (u64, u64),
+    /// The most time that a write waits for its majority.
+    pub write_ms: u64,
+    /// The most time that adding a replica waits until it is up to date.
+    pub catch_up_ms: u64,
+    /// A snapshot is taken after as many entries.
+    pub snapshot_after: u64,
+    /// Entries that are kept behind the snapshot, so that a replica that was away a little needs no snapshot.
+    pub kept: u64,
+    /// The most bytes of a snapshot.
+    pub snapshot_most: usize,
+    /// The most writes under way at a time.
+    pub writes_most: usize,
+    /// The most bytes of a command as JSON.
+    pub command_most: usize,
+}
+
+impl ReplicaConfig {
+    /// A replica with the defaults for replicas near each other: a heartbeat each 100 ms, elections after 300 to
+    /// 600 ms.
+    pub fn new(id: u64, cluster: &str, address: SocketAddr, peers: BTreeMap<u64, SocketAddr>) -> Self {
+        Self {
+            id,
+            cluster: cluster.to_owned(),
+            address,
+            peers,
+            heartbeat_ms: 100,
+            election_ms: (300, 600),
+            write_ms: 5000,
+            catch_up_ms: 30_000,
+            snapshot_after: 5000,
+            kept: 1000,
+            snapshot_most: 16 << 20,
+            writes_most: 256,
+            command_most: 1 << 20,
+        }
+    }
+
+    /// The library's configuration, after a check of each field.
+    pub(crate) fn library(&self) -> Result<openraft::Config, ConsensusError> {
+        let bad = |field, why: String| Err(ConsensusError::Config { field, why });
+        if self.cluster.is_empty() || self.cluster.len() > NAME_MOST {
+            return bad("cluster", format!("a name of 1 to {NAME_MOST} bytes is needed"));
+        }
+        if self.peers.len() > PEERS_MOST {
+            return bad(
+                "peers",
+                format!("{} replicas, and at most {PEERS_MOST} form a group", self.peers.len()),
+            );
+        }
+        if self.peers.get(&self.id).is_some_and(|address| *address != self.address) {
+            return bad("peers", format!("replica {} is this one, at another address than its own", self.id));
+        }
+        let (low, high) = self.election_ms;
+        if self.heartbeat_ms == 0 || low < 2 * self.heartbeat_ms || high <= low || high > 60_000 {
+            return bad(
+                "election_ms",
+                format!(
+                    "{low} to {high} ms, and it must start at 2 heartbeats ({} ms) or more, grow, and end within 60000",
+                    2 * self.heartbeat_ms
+                ),
+            );
+        }
+        for (field, value) in [
+            ("snapshot_after", self.snapshot_after),
+            ("write_ms", self.write_ms),
+            ("catch_up_ms", self.catch_up_ms),
+            ("writes_most", self.writes_most as u64),
+        ] {
+            if value == 0 {
+                return bad(field, "it must be above 0".to_owned());
+            }
+        }
+        if self.command_most == 0 || self.command_most > COMMAND_MOST {
+            return bad("command_most", format!("1 to {COMMAND_MOST} bytes are possible"));
+        }
+        let config = openraft::Config {
+            cluster_name: self.cluster.clone(),
+            heartbeat_interval: self.heartbeat_ms,
+            election_timeout_min: low,
+            election_timeout_max: high,
+            install_snapshot_timeout: 5000,
+            max_payload_entries: 300,
+            replication_lag_threshold: self.snapshot_after.saturating_add(self.kept),
+            snapshot_policy: SnapshotPolicy::LogsSinceLast(self.snapshot_after),
+            snapshot_max_chunk_size: crate::wire::CHUNK,
+            max_in_snapshot_log_to_keep: self.kept,
+            purge_batch_size: 64,
+            ..Default::default()
+        };
+        config.validate().or_else(|e| bad("election_ms", e.to_string()))
+    }
+}
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -6,14 +6,57 @@
 //! messages as JSON over HTTP/1.1, as the discovery protocol has it. All that runs on the log is one machine made of
 //! modules; adding one is adding its commands.
 //!
+//! | module | what it knows |
+//! | --- | --- |
+//! | `config` | a replica's place, times and bounds |
+//! | `identity` | whose disk answers: a replica that lost its disk is a stranger |
+//! | `wire` | what replicas say to each other, and who may say it |
+//! | `network` | kept connections to the other replicas |
+//! | `disk` | log and vote on the store, off the event loop, through a full disk |
+//! | `machine` | commands into the [`Machine`], its snapshots |
+//! | `confirm` | leadership made sure, one round for all who wait |
+//! | `members` | replicas added and removed one at a time |
+//! | `replica` | all of it together |
+//!
+//! The library is `openraft` in its stable line 0.9: the protocol core alone, with storage and transport left to the
+//! caller, which is what lets us keep one log of our own on a disk of our own and speak JSON on the port that is
+//! there. It has joint membership changes, snapshots, read rounds and a lease against needless elections; its newer
+//! line 0.10 is not released yet. `raft-rs` has the same core as a state machine without its driver (ticks, ready
+//! loops, protobuf messages), which would be ours to write and to test; a coordinator beside the fleet (etcd, Consul)
+//! is a second product to run.
+//!
 //! Rejected: a consensus of our own (the library's edge cases are tested far beyond what we could); and a log for each
 //! subject, which would need an order between logs and as many elections.
+//!
+//! # What a replica that lost its disk may do
+//!
+//! Nothing under its old id. It would vote and acknowledge as if it knew nothing, and an acknowledged command could be
+//! lost. Each disk has an id of its own, drawn at its first start; replicas remember the disk of each peer, pass on
+//! what they know with each message, and refuse a known id on another disk in both directions, as its request and as
+//! its answer. Such a replica is replaced: removed, and added under an id that was never used ([`Replica::set_peer`]).
+//! What this can't see is a majority that was wiped before the rest ever spoke to it: that is a new group.
+
+mod config;
+mod confirm;
+mod disk;
+mod error;
+mod identity;
+mod machine;
+mod members;
+mod network;
+mod replica;
+mod wire;
 
 use std::fmt::Debug;
 
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
+pub use config::ReplicaConfig;
+pub use error::{ConsensusError, Failure, WriteError};
+pub use replica::{Leading, PeerStatus, Replica, Status};
+pub use wire::BODY_MOST;
+
 /// What the log drives: the same commands in the same order make the same state at every replica. It reads no clock
 /// and draws no random numbers.
 pub trait Machine: Send + Sync + 'static {
--- a/crates/member/src/messages.rs
+++ b/crates/member/src/messages.rs
@@ -11,8 +11,7 @@
 
 use crate::{Millis, Policy};
 
-/// The number of an agreed policy; 0 is the settings that each node was started with. Grows with each commit; the
-/// number of a change that was aborted is never given again.
+/// The number of an agreed policy; 0 is the settings that each node was started with. Grows by one a commit.
 pub type Epoch = u64;
 
 /// Which process of a node speaks.
@@ -95,7 +94,7 @@
     /// for a process that judges by `agreed.epoch`. `None` in a beat's answer of a fenced fleet grants nothing.
     #[serde(default)]
     pub lease_ms: Option<Millis>,
-    /// This process is fenced, from its join to its end: without a lease it takes nothing new.
+    /// The fleet is fenced: without a lease nothing new is taken.
     #[serde(default)]
     pub fenced: bool,
     /// For how long after the beat's sending a promise about a change lasts.
