Follow the list by one clock and never back to an older version, as pure state machines

A node's calls to the list were timed in the code of their sockets: bytes of a line that never ended kept a call for good, waits for a connection, an answer and a line added up to more than 6 s, and an older version was taken for news.

Follower (when to call, when to give a call up) and Book (what to believe) know no sockets. Where lists are pushed an unanswered call gets another one beside it after 200 ms; silence ends a call after 3.2 s, a line that does not end after 4.5 s; a service that is asked is asked again at the latest 4 to 5 s after it fell silent, whatever its owner's pause; after a move all is within 4 s. An older word may only stop sends; an older whole list counts once a second connection brings it 20 s later (2 s after a move).

--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -1,14 +1,23 @@
 //! The discovery protocol's types: what a line of the list or of a watch holds, and how a stream is cut into lines.
 //!
 //! Both ends use them: the node reads, the lab's discovery (and the list service to come) writes. Field names on the
-//! wire are the platform's; unknown fields are ignored. Left out: the calls themselves, as the node's ride on its
-//! own sockets and a service's on a server's.
+//! wire are the platform's; unknown fields are ignored. How a node follows the list is here too, without its sockets:
+//! [`Follower`] says when to call and when to give a call up, [`Book`] what to believe of what comes.
+
+mod book;
+mod follower;
 
 use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+pub use book::{Book, Taken, CONFIRM, CONFIRM_MOVED};
+pub use follower::{Action, CallId, Event, Follower, Mode, Trouble};
+
+/// A time in ms, on a monotonic clock that begins anywhere.
+pub type Ms = u64;
+
 /// The longest line that is taken, in bytes.
 pub const LINE_MOST: usize = 4 << 20;
 
@@ -118,7 +127,7 @@
 }
 
 /// Cuts a stream into lines.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Lines {
     held: Vec<u8>,
 }
