Give the lab's errors types of their own that say where and what to do

Errors of the lab and its command line were strings, which named no field and told nobody what to do.

Each is a type now (thiserror) that says what failed and where, and has advice(); the program prints both in one line. An experiment's field is named by its path (serde_path_to_error): fault[0].zone, fleet.nods. Exit codes stay as they were.

--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::path::{Path, PathBuf};
 
+use crate::error::FileError;
 use crate::result::RunResult;
 
 /// How deep a folder is searched for results.
@@ -93,16 +94,16 @@
 ///
 /// # Errors
 /// One line that says what can't be read, or that nothing is there.
-pub fn load(path: &Path) -> Result<Vec<RunResult>, String> {
+pub fn load(path: &Path) -> Result<Vec<RunResult>, FileError> {
     let mut files = Vec::new();
     if path.is_dir() {
-        search(path, DEPTH, &mut files).map_err(|e| format!("{}: {e}", path.display()))?;
+        search(path, DEPTH, &mut files).map_err(FileError::read(path))?;
     } else {
         files.push(path.to_path_buf());
     }
     files.sort();
     if files.is_empty() {
-        return Err(format!("{}: no result.json below it", path.display()));
+        return Err(FileError::Nothing { folder: path.into() });
     }
     files.iter().map(|file| RunResult::read(file)).collect()
 }
--- a/crates/lab/src/curve/mod.rs
+++ b/crates/lab/src/curve/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::baseline::{self, Policy};
 use crate::draw::Draw;
+use crate::error::{read_json, FileError, ModelError};
 use crate::modules;
 use crate::plan::{Plan, PlanError, Range};
 use crate::result::{recovery, service};
@@ -84,8 +85,8 @@
     Ok(plan)
 }
 
-fn play(plan: &Plan, load: f64, seed: u64) -> Result<Played, String> {
-    let steady = at(plan, load, "").map_err(|e| e.to_string())?;
+fn play(plan: &Plan, load: f64, seed: u64) -> Result<Played, ModelError> {
+    let steady = at(plan, load, "")?;
     let draw = Rc::new(Draw::new(&steady, seed));
     let own = service(&modules::play(&steady, &draw, None)?);
     let [random, oracle] = [Policy::Random, Policy::Oracle]
@@ -94,7 +95,7 @@
         let (from, span) = BURST;
         let burst =
             format!("[[fault]]\nkind = \"burst\"\nat_s = {from}\nfor_s = {span}\nfactor = {}\n", load / CALM);
-        let plan = at(plan, CALM, &burst).map_err(|e| e.to_string())?;
+        let plan = at(plan, CALM, &burst)?;
         let world = modules::play(&plan, &Rc::new(Draw::new(&plan, seed)), None)?;
         recovery(world.tally(), from as usize, (from + span) as usize, LENGTH as usize)
     } else {
@@ -112,11 +113,11 @@
     loads: &[f64],
     seeds: &[u64],
     progress: &(dyn Fn(usize, usize) + Sync),
-) -> Result<Curve, String> {
+) -> Result<Curve, ModelError> {
     let jobs: Vec<(usize, u64)> =
         (0..loads.len()).flat_map(|l| seeds.iter().map(move |seed| (l, *seed))).collect();
     let (next, done) = (AtomicUsize::new(0), AtomicUsize::new(0));
-    let results: Mutex<Vec<(usize, Result<Played, String>)>> = Mutex::default();
+    let results: Mutex<Vec<(usize, Result<Played, ModelError>)>> = Mutex::default();
     let work = || {
         while let Some((load, seed)) = jobs.get(next.fetch_add(1, Ordering::Relaxed)).copied() {
             let played = play(plan, loads[load], seed);
@@ -130,8 +131,7 @@
     for (load, played) in results.into_inner().unwrap_or_else(|e| e.into_inner()) {
         by_load[load].push(played?);
     }
-    let draw =
-        Draw::new(&at(plan, CALM, "").map_err(|e| e.to_string())?, seeds.first().copied().unwrap_or(0));
+    let draw = Draw::new(&at(plan, CALM, "")?, seeds.first().copied().unwrap_or(0));
     Ok(Curve {
         schema: SCHEMA,
         name: plan.name.clone(),
@@ -162,22 +162,17 @@
     ///
     /// # Errors
     /// Where it can't be written.
-    pub fn write(&self, path: &Path) -> std::io::Result<()> {
-        std::fs::write(path, serde_json::to_string_pretty(self)? + "\n")
+    pub fn write(&self, path: &Path) -> Result<(), FileError> {
+        let text = serde_json::to_string_pretty(self).map_err(FileError::write(path))?;
+        std::fs::write(path, text + "\n").map_err(FileError::write(path))
     }
 
     /// Reads the file.
     ///
     /// # Errors
-    /// One line that says what is wrong.
-    pub fn read(path: &Path) -> Result<Self, String> {
-        let file = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
-        let curve: Self = serde_json::from_str(&text).map_err(|e| format!("{file}: {e}"))?;
-        if curve.schema != SCHEMA {
-            return Err(format!("{file}: schema: {SCHEMA} is known, not {}", curve.schema));
-        }
-        Ok(curve)
+    /// Names the file and the field that is wrong.
+    pub fn read(path: &Path) -> Result<Self, FileError> {
+        read_json(path, SCHEMA, |curve: &Self| curve.schema)
     }
 }
 
--- a/crates/lab/src/curve/plot.rs
+++ b/crates/lab/src/curve/plot.rs
@@ -5,6 +5,7 @@
 use plotters::prelude::*;
 
 use super::Curve;
+use crate::error::FileError;
 
 type Drawn = Result<(), DrawingAreaErrorKind<std::io::Error>>;
 type Area<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
@@ -20,8 +21,8 @@
 ///
 /// # Errors
 /// Where the file can't be written.
-pub fn write(curve: &Curve, before: Option<&Curve>, path: &Path) -> Result<(), String> {
-    draw(curve, before, path).map_err(|e| format!("{}: {e}", path.display()))
+pub fn write(curve: &Curve, before: Option<&Curve>, path: &Path) -> Result<(), FileError> {
+    draw(curve, before, path).map_err(FileError::write(path))
 }
 
 /// A line: its name, its colour and its points.
--- a/crates/lab/src/live/agent.rs
+++ b/crates/lab/src/live/agent.rs
@@ -41,7 +41,7 @@
 /// Where its address can't be listened at.
 pub async fn serve(stage: Rc<Stage>, node: usize) -> Result<(), LabError> {
     let at = stage.addresses.list(node);
-    let fail = |e: std::io::Error| LabError::Listen { at, words: e.to_string() };
+    let fail = |source: std::io::Error| LabError::Listen { at, source };
     let listener = TcpListener::bind(at).await.map_err(fail)?;
     tokio::task::spawn_local(quiet(stage.clone(), node));
     tokio::task::spawn_local(async move {
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -9,7 +9,6 @@
 
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::HashMap;
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -17,6 +16,7 @@
 
 use nix::sys::resource::{getrlimit, setrlimit, Resource};
 use nix::unistd::Pid;
+use thiserror::Error;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, AbortHandle, LocalSet};
@@ -39,52 +39,67 @@
 const GONE: Duration = Duration::from_secs(5);
 
 /// Why a run could not be played.
-#[derive(Debug)]
+#[derive(Debug, Error)]
 pub enum LabError {
     /// No block of addresses is free.
+    #[error("no block of loopback addresses is free: {0}")]
     Addresses(String),
     /// An address can't be listened at.
+    #[error("{at} can't be listened at: {source}")]
     Listen {
         /// The address.
         at: SocketAddr,
         /// Why not.
-        words: String,
+        source: std::io::Error,
     },
-    /// A node could not be started, or ended before it was ready.
+    /// A process could not be started, or ended before it was ready.
+    #[error("{who} could not be started: {words}")]
     Start {
-        /// The node.
-        node: usize,
+        /// The node or replica.
+        who: String,
         /// What happened.
         words: String,
     },
-    /// A node did not get ready in its time.
+    /// A process did not get ready in its time.
+    #[error("{who} was not ready within {within} s; its last line: {last}")]
     NotReady {
-        /// The node.
-        node: usize,
+        /// The node or replica.
+        who: String,
         /// The time, in seconds.
         within: f64,
         /// The last line of its log.
         last: String,
     },
     /// A file or the runtime failed.
-    Io(String),
+    #[error("{what}: {source}")]
+    Io {
+        /// What of the run.
+        what: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A task of the run goes on though it is over.
+    #[error("a task outlived the run")]
+    Unended,
 }
 
-impl fmt::Display for LabError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl LabError {
+    /// What to do about it.
+    pub fn advice(&self) -> &'static str {
         match self {
-            Self::Addresses(words) => write!(f, "no block of loopback addresses is free: {words}"),
-            Self::Listen { at, words } => write!(f, "{at} can't be listened at: {words}"),
-            Self::Start { node, words } => write!(f, "node n{node} could not be started: {words}"),
-            Self::NotReady { node, within, last } => {
-                write!(f, "node n{node} was not ready within {within} s; its last line: {last}")
-            }
-            Self::Io(words) => f.write_str(words),
+            Self::Addresses(_) => "wait for other runs on this machine to end",
+            Self::Listen { .. } => "end what listens there, or play it again at other addresses",
+            Self::Start { .. } => "try the program by hand; its log is in the run's logs",
+            Self::NotReady { .. } => "read its log in the run's logs; node.ready_s gives it more time",
+            Self::Io { .. } => "see that the folder can be written and descriptors are left",
+            Self::Unended => "play it again, and report it: this is a fault of the lab's",
         }
     }
-}
 
-impl std::error::Error for LabError {}
+    fn start(node: usize, words: impl std::fmt::Display) -> Self {
+        Self::Start { who: format!("node n{node}"), words: words.to_string() }
+    }
+}
 
 /// How a run is to be played.
 pub struct Options<'a> {
@@ -141,9 +156,9 @@
 /// Where it could not be played; all that was started has ended then.
 pub fn play(plan: &Plan, draw: Rc<Draw>, options: &Options) -> Result<Played, LabError> {
     raise_descriptors();
-    let io = |words: &str| {
-        let words = words.to_string();
-        move |e: std::io::Error| LabError::Io(format!("{words}: {e}"))
+    let io = |what: &str| {
+        let what = what.to_string();
+        move |source: std::io::Error| LabError::Io { what, source }
     };
     std::fs::create_dir_all(options.logs).map_err(io("logs"))?;
     let folder =
@@ -183,7 +198,7 @@
     drop(local);
     let interrupted = played?;
     let held = stage.held.get();
-    let stage = Rc::into_inner(stage).ok_or_else(|| LabError::Io("a task outlived the run".into()))?;
+    let stage = Rc::into_inner(stage).ok_or(LabError::Unended)?;
     Ok(Played { world: stage.world.into_inner(), interrupted, held, busy })
 }
 
@@ -293,7 +308,7 @@
             let world = self.world();
             serde_json::to_value(world.line(node, 0, world.version(node)))
         };
-        let known = known.map_err(|e| LabError::Io(e.to_string()))?;
+        let known = known.map_err(|e| LabError::start(node, e))?;
         let process = self.launch.start(node, state.life.replace(state.life.get() + 1), known)?;
         state.id.set(Some(process.id()));
         let stage = self.clone();
@@ -315,9 +330,13 @@
         let last = || self.launch.last_line(node);
         tokio::select! {
             () = process::until_ready(self.addresses.node(node)) => Ok(()),
-            () = gone => Err(LabError::Start { node, words: format!("it ended at once: {}", last()) }),
+            () = gone => Err(LabError::start(node, format!("it ended at once: {}", last()))),
             () = tokio::time::sleep(self.ready_within) => {
-                Err(LabError::NotReady { node, within: self.ready_within.as_secs_f64(), last: last() })
+                Err(LabError::NotReady {
+                    who: format!("node n{node}"),
+                    within: self.ready_within.as_secs_f64(),
+                    last: last(),
+                })
             }
         }
     }
@@ -391,7 +410,7 @@
     }
 
     async fn drive(self: &Rc<Self>) -> Result<(), LabError> {
-        let io = |e: std::io::Error| LabError::Io(format!("timer: {e}"));
+        let io = |source: std::io::Error| LabError::Io { what: "timer".into(), source };
         let start = self.start.get().unwrap_or_else(Instant::now);
         let mut timer = tokio_timerfd::Delay::new(start).map_err(io)?;
         loop {
--- a/crates/lab/src/live/process.rs
+++ b/crates/lab/src/live/process.rs
@@ -69,7 +69,7 @@
     /// # Errors
     /// Names the node and what failed.
     pub fn start(&self, node: usize, life: u32, known: Value) -> Result<Process, LabError> {
-        let fail = |error: std::io::Error| LabError::Start { node, words: error.to_string() };
+        let fail = |error: std::io::Error| LabError::start(node, error);
         let scratch = self.folder.join(format!("n{node}-{life}"));
         fs::create_dir_all(&scratch).map_err(fail)?;
         let settings = own(&self.settings, &self.draw, node);
@@ -100,11 +100,10 @@
             .kill_on_drop(true)
             // A group of its own: a Ctrl-C at the terminal is the lab's to see, which then ends the nodes.
             .process_group(0);
-        let child = command
-            .spawn()
-            .map_err(|e| LabError::Start { node, words: format!("{}: {e}", self.program.display()) })?;
+        let child =
+            command.spawn().map_err(|e| LabError::start(node, format!("{}: {e}", self.program.display())))?;
         let id = child.id().map(|id| Pid::from_raw(id as i32));
-        let id = id.ok_or_else(|| LabError::Start { node, words: "it has no process id".into() })?;
+        let id = id.ok_or_else(|| LabError::start(node, "it has no process id"))?;
         Ok(Process { child, id })
     }
 
--- a/crates/lab/src/live/servers.rs
+++ b/crates/lab/src/live/servers.rs
@@ -81,7 +81,7 @@
             return Ok(());
         }
         let at = stage.addresses.server(server, zone);
-        let fail = |error: io::Error| LabError::Listen { at, words: error.to_string() };
+        let fail = |source: io::Error| LabError::Listen { at, source };
         let door = match doors.entry((server, zone)) {
             std::collections::hash_map::Entry::Occupied(door) => door.into_mut(),
             std::collections::hash_map::Entry::Vacant(place) => {
--- a/crates/lab/src/modules/mod.rs
+++ b/crates/lab/src/modules/mod.rs
@@ -20,6 +20,7 @@
 
 use self::node::{Node, Want};
 use crate::draw::Draw;
+use crate::error::ModelError;
 use crate::plan::Plan;
 use crate::server::Us;
 use crate::settings::{own, seed, settings};
@@ -85,7 +86,7 @@
 ///
 /// # Errors
 /// Where the modules refuse the plan's settings.
-pub fn play(plan: &Plan, draw: &Rc<Draw>, look: Option<Watcher<'_>>) -> Result<World, String> {
+pub fn play(plan: &Plan, draw: &Rc<Draw>, look: Option<Watcher<'_>>) -> Result<World, ModelError> {
     let dial = Rc::new(|server: usize, _: usize| SocketAddr::from(([127, 0, 0, 1], 1 + server as u16)));
     let nodes = draw.nodes.len();
     let mut fleet = Fleet {
@@ -107,7 +108,7 @@
 }
 
 impl Fleet {
-    fn run(&mut self, mut look: Option<Watcher<'_>>) -> Result<(), String> {
+    fn run(&mut self, mut look: Option<Watcher<'_>>) -> Result<(), ModelError> {
         let mut shown = 0;
         while !self.world.over() {
             let own = self.due.peek().map(|Reverse((at, ..))| *at);
@@ -148,7 +149,7 @@
         self.due.push(Reverse((at.max(self.now), node, self.lives[node], wake)));
     }
 
-    fn carry_out(&mut self) -> Result<(), String> {
+    fn carry_out(&mut self) -> Result<(), ModelError> {
         while let Some(out) = self.world.take() {
             let to = match &out {
                 Out::Ask(ask) | Out::Leave(ask) => Some(self.world.asked(*ask).node),
@@ -165,7 +166,7 @@
     }
 
     /// A message of the world's is there.
-    fn reach(&mut self, out: Out) -> Result<(), String> {
+    fn reach(&mut self, out: Out) -> Result<(), ModelError> {
         match out {
             Out::Ask(ask) => {
                 let asked = self.world.asked(ask);
@@ -282,7 +283,7 @@
 
     // ---- Starts and ends ----
 
-    fn start(&mut self, node: usize) -> Result<(), String> {
+    fn start(&mut self, node: usize) -> Result<(), ModelError> {
         self.lives[node] += 1;
         let draw = self.world.draw().clone();
         let life = self.lives[node] - 1;
--- a/crates/lab/src/modules/node.rs
+++ b/crates/lab/src/modules/node.rs
@@ -8,6 +8,7 @@
 use tulipmount::{Action, Balancer, Entry, Event, Listed, Outcome, RequestId, ServerId, Status};
 
 use crate::draw::ms;
+use crate::error::ModelError;
 use crate::server::Us;
 use crate::world::Ask;
 
@@ -98,9 +99,10 @@
     ///
     /// # Errors
     /// Where the settings are refused.
-    pub fn new(settings: &Value, seed: u64, zones: &[String]) -> Result<Self, String> {
-        let told = told(settings)?;
-        let balancer = Balancer::new(told.settings.clone(), seed).map_err(|e| e.to_string())?;
+    pub fn new(settings: &Value, seed: u64, zones: &[String]) -> Result<Self, ModelError> {
+        let told = told(settings).map_err(|e| ModelError::Settings(e.to_string()))?;
+        let balancer =
+            Balancer::new(told.settings.clone(), seed).map_err(|e| ModelError::Settings(e.to_string()))?;
         Ok(Self {
             told,
             balancer,
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -3,11 +3,11 @@
 //! What a file leaves out has the deployment's figures. Where a `[least, most]` stands, each draw takes a figure
 //! between the two. A file that can't be played is told in one line with file, line and key.
 
-use std::fmt;
 use std::path::Path;
 
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
+use thiserror::Error;
 use toml::Spanned;
 
 /// The version of the file's form.
@@ -610,23 +610,82 @@
 }
 
 /// Why a file can't be played: one line.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PlanError {
-    /// The file.
-    pub file: String,
-    /// The line, from 1.
-    pub line: usize,
-    /// What is wrong, with the key.
-    pub words: String,
-}
-
-impl fmt::Display for PlanError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: {}", self.file, self.line, self.words)
+#[derive(Debug, Error)]
+pub enum PlanError {
+    /// It can't be read.
+    #[error("{file}: can't be read: {source}")]
+    Read {
+        /// The file.
+        file: String,
+        /// Why not.
+        source: std::io::Error,
+    },
+    /// It is no experiment: a key or a value that has no place in one.
+    #[error("{file}:{line}: {field}: {words}")]
+    Form {
+        /// The file.
+        file: String,
+        /// The line, from 1.
+        line: usize,
+        /// The field's path.
+        field: String,
+        /// What is wrong.
+        words: String,
+    },
+    /// A figure or a name that can't be played.
+    #[error("{file}:{line}: {field}: {words}")]
+    Figure {
+        /// The file.
+        file: String,
+        /// The line, from 1.
+        line: usize,
+        /// The field's path.
+        field: String,
+        /// What is wrong.
+        words: String,
+    },
+}
+
+impl PlanError {
+    /// What to do about it.
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Self::Read { .. } => "name an experiment's file, such as experiments/calm.toml",
+            Self::Form { .. } => "write the key as crates/lab/src/plan.rs has it",
+            Self::Figure { .. } => "give it a value within the bounds named",
+        }
     }
 }
 
-impl std::error::Error for PlanError {}
+/// What can't be played: where it stands in the text, its field, and what is wrong.
+struct Bad {
+    at: usize,
+    field: String,
+    words: String,
+}
+
+fn bad<T>(at: usize, field: impl Into<String>, words: impl Into<String>) -> Result<T, Bad> {
+    Err(Bad { at, field: field.into(), words: words.into() })
+}
+
+/// A field's path, without the names that a [`Spanned`] is read under.
+fn field_of(path: &serde_path_to_error::Path) -> String {
+    let mut field = String::new();
+    for segment in path.iter() {
+        let name = segment.to_string();
+        if name.starts_with("$__") {
+            continue;
+        }
+        if !field.is_empty() && !name.starts_with('[') {
+            field.push('.');
+        }
+        field.push_str(&name);
+    }
+    if field.is_empty() {
+        field.push_str("the file");
+    }
+    field
+}
 
 impl Plan {
     /// Reads a file.
@@ -637,7 +696,7 @@
         let file = path.display().to_string();
         match std::fs::read_to_string(path) {
             Ok(text) => Self::read(&file, &text),
-            Err(error) => Err(PlanError { file, line: 1, words: error.to_string() }),
+            Err(source) => Err(PlanError::Read { file, source }),
         }
     }
 
@@ -647,56 +706,69 @@
     /// As [`Plan::load`].
     pub fn read(file: &str, text: &str) -> Result<Self, PlanError> {
         let line = |at: usize| text.as_bytes().iter().take(at).filter(|b| **b == b'\n').count() + 1;
-        let fail = |at: usize, words: String| PlanError { file: file.into(), line: line(at), words };
-        let plan: Self = toml::from_str(text).map_err(|e| {
-            let words = e.message().replace('\n', " ");
-            fail(e.span().map_or(0, |s| s.start), words)
+        let form = |field: String, e: &toml::de::Error| PlanError::Form {
+            file: file.into(),
+            line: line(e.span().map_or(0, |s| s.start)),
+            field,
+            words: e.message().replace('\n', " "),
+        };
+        let from = toml::Deserializer::parse(text).map_err(|e| form("the file".into(), &e))?;
+        let plan: Self =
+            serde_path_to_error::deserialize(from).map_err(|e| form(field_of(e.path()), e.inner()))?;
+        plan.check().map_err(|Bad { at, field, words }| PlanError::Figure {
+            file: file.into(),
+            line: line(at),
+            field,
+            words,
         })?;
-        plan.check().map_err(|(at, words)| fail(at, words))?;
         Ok(plan)
     }
 
-    /// The first thing that can't be played, and where it stands.
-    fn check(&self) -> Result<(), (usize, String)> {
+    /// The first thing that can't be played.
+    fn check(&self) -> Result<(), Bad> {
         if self.schema != SCHEMA {
-            return Err((0, format!("schema: {SCHEMA} is known, not {}", self.schema)));
+            return bad(0, "schema", format!("{SCHEMA} is known, not {}", self.schema));
         }
         let length = *self.length_s.get_ref();
         if !(length > 0.0 && length <= LENGTH_MOST) {
-            return Err((
-                self.length_s.span().start,
-                format!("length_s: {length} is not in 0 to {LENGTH_MOST}"),
-            ));
+            let words = format!("{length} is not in 0 to {LENGTH_MOST}");
+            return bad(self.length_s.span().start, "length_s", words);
         }
-        self.check_fleet().map_err(|w| (self.fleet.span().start, w))?;
+        self.check_fleet(self.fleet.span().start)?;
         self.check_figures()?;
-        for fault in &self.faults {
-            self.check_fault(fault.get_ref()).map_err(|w| (fault.span().start, w))?;
+        for (n, fault) in self.faults.iter().enumerate() {
+            let kind = format!("{:?}", fault.get_ref().kind).to_lowercase();
+            self.check_fault(fault.get_ref()).map_err(|(key, words)| Bad {
+                at: fault.span().start,
+                field: format!("fault[{n}].{key}"),
+                words: format!("{kind}: {words}"),
+            })?;
         }
         Ok(())
     }
 
-    fn check_fleet(&self) -> Result<(), String> {
+    fn check_fleet(&self, at: usize) -> Result<(), Bad> {
         let fleet = self.fleet.get_ref();
         if fleet.zones.is_empty() || fleet.zones.len() > ZONES_MOST {
-            return Err(format!("fleet.zones: 1 to {ZONES_MOST} are possible, not {}", fleet.zones.len()));
+            let words = format!("1 to {ZONES_MOST} are possible, not {}", fleet.zones.len());
+            return bad(at, "fleet.zones", words);
         }
         for (key, range, most) in
             [("fleet.nodes", fleet.nodes, NODES_MOST), ("fleet.servers", fleet.servers, SERVERS_MOST)]
         {
             let (least, largest) = range.bounds();
             if !(least >= 1.0 && largest <= most as f64) {
-                return Err(format!("{key}: 1 to {most} are possible"));
+                return bad(at, key, format!("1 to {most} are possible"));
             }
         }
-        share("fleet.server_skew", fleet.server_skew)
+        share(at, "fleet.server_skew", fleet.server_skew)
     }
 
-    fn check_figures(&self) -> Result<(), (usize, String)> {
+    fn check_figures(&self) -> Result<(), Bad> {
         let kind = self.server.get_ref();
         let at = self.server.span().start;
         if kind.cores == 0 || kind.cores > 256 {
-            return Err((at, "server.cores: 1 to 256 are possible".into()));
+            return bad(at, "server.cores", "1 to 256 are possible");
         }
         for (key, range) in [
             ("server.speed", kind.speed),
@@ -705,7 +777,7 @@
             ("server.connections_per_core", kind.connections_per_core),
         ] {
             if !(range.bounds().0 > 0.0 && range.bounds().1.is_finite()) {
-                return Err((at, format!("{key}: must be above 0")));
+                return bad(at, key, "must be above 0");
             }
         }
         for (key, range) in [
@@ -714,29 +786,27 @@
             ("server.drops_cancelled", kind.drops_cancelled),
             ("server.full_tax", kind.full_tax),
         ] {
-            share(key, range).map_err(|w| (at, w))?;
+            share(at, key, range)?;
         }
         let load = self.load.get_ref();
         let at = self.load.span().start;
-        share("load.zone_skew", load.zone_skew).map_err(|w| (at, w))?;
-        share("load.swing", load.swing).map_err(|w| (at, w))?;
-        share("load.guess_cv", load.guess_cv).map_err(|w| (at, w))?;
+        share(at, "load.zone_skew", load.zone_skew)?;
+        share(at, "load.swing", load.swing)?;
+        share(at, "load.guess_cv", load.guess_cv)?;
         let rate = load.per_s.unwrap_or(load.of_capacity).bounds();
         if !(rate.0 >= 0.0 && rate.1 <= 1e5) {
-            return Err((at, "load: the rate must be within 0 and 100000".into()));
+            return bad(at, "load", "the rate must be within 0 and 100000");
         }
         let at = self.classes.span().start;
         if self.classes.get_ref().is_empty() {
-            return Err((at, "class: one is needed at least".into()));
+            return bad(at, "class", "one is needed at least");
         }
         for class in self.classes.get_ref() {
             let name = &class.name;
             let figures = [class.work_ms.bounds().0, class.aim_ms, class.deadline_ms, class.worth];
             if figures.iter().any(|v| !(*v > 0.0 && v.is_finite())) || class.share < 0.0 {
-                return Err((
-                    at,
-                    format!("class {name}: work_ms, aim_ms, deadline_ms, worth must be above 0"),
-                ));
+                let words = "work_ms, aim_ms, deadline_ms, worth must be above 0";
+                return bad(at, format!("class {name}"), words);
             }
         }
         let clients = self.clients.get_ref();
@@ -746,74 +816,74 @@
             ("clients.honour", clients.honour),
             ("clients.impatient", clients.impatient),
         ] {
-            share(key, range).map_err(|w| (at, w))?;
+            share(at, key, range)?;
         }
         if !(0.0..=10.0).contains(&clients.retries.bounds().1) {
-            return Err((at, "clients.retries: 0 to 10 are possible".into()));
+            return bad(at, "clients.retries", "0 to 10 are possible");
         }
         Ok(())
     }
 
-    fn check_fault(&self, fault: &Fault) -> Result<(), String> {
+    /// The key of a fault that can't be played, and why.
+    fn check_fault(&self, fault: &Fault) -> Result<(), (&'static str, String)> {
         let length = *self.length_s.get_ref();
-        let name = format!("{:?}", fault.kind).to_lowercase();
-        let fail = |words: String| Err(format!("fault {name}: {words}"));
+        let fail = |key: &'static str, words: String| Err((key, words));
         if !(fault.at_s >= 0.0 && fault.at_s < length) {
-            return fail(format!("at_s: {} is not within the {length} s of the run", fault.at_s));
+            return fail("at_s", format!("{} is not within the {length} s of the run", fault.at_s));
         }
         if !(fault.for_s >= 0.0 && fault.at_s + fault.for_s <= length) {
-            return fail(format!("for_s: it ends after the {length} s of the run"));
+            return fail("for_s", format!("it ends after the {length} s of the run"));
         }
         let fleet = self.fleet.get_ref();
         if let Some(zone) = &fault.zone {
             if !fleet.zones.contains(zone) {
-                return fail(format!("zone: {zone} is not in fleet.zones"));
+                return fail("zone", format!("{zone} is not in fleet.zones"));
             }
         }
         if fault.share.is_some_and(|s| !(s > 0.0 && s <= 1.0)) {
-            return fail("share: a share above 0 and up to 1 expected".into());
+            return fail("share", "a share above 0 and up to 1 expected".into());
         }
         if fault.garbled.is_some_and(|s| !(0.0..=1.0).contains(&s)) {
-            return fail("garbled: a share from 0 to 1 expected".into());
+            return fail("garbled", "a share from 0 to 1 expected".into());
         }
         let of_nodes =
             matches!(fault.kind, Trouble::Kill | Trouble::Restart | Trouble::Stop | Trouble::Crowd);
         let most = if of_nodes { fleet.nodes } else { fleet.servers }.bounds().0 as usize;
         if let Some(id) = fault.ids.iter().flatten().find(|id| **id >= most) {
-            return fail(format!("ids: {id} is not there; they count from 0 to {}", most - 1));
+            return fail("ids", format!("{id} is not there; they count from 0 to {}", most - 1));
         }
         match fault.kind {
             Trouble::Cut | Trouble::BreakLinks | Trouble::Narrow if fault.zone.is_none() => {
-                fail("zone is missing".into())
+                fail("zone", "is missing".into())
             }
             Trouble::Narrow if !fault.factor.is_some_and(|f| f >= 1.0) => {
-                fail("factor: bytes a second expected, 1 at least".into())
+                fail("factor", "bytes a second expected, 1 at least".into())
             }
             Trouble::Crowd if !fault.factor.is_some_and(|f| (1.0..=CROWD_MOST).contains(&f)) => {
-                fail(format!("factor: 1 to {CROWD_MOST} connections expected"))
+                fail("factor", format!("1 to {CROWD_MOST} connections expected"))
             }
             Trouble::StaleList if !fault.factor.is_some_and(|f| f >= 1.0 && f.fract() == 0.0) => {
-                fail("factor: a whole number of versions expected, 1 at least".into())
+                fail("factor", "a whole number of versions expected, 1 at least".into())
             }
             Trouble::Slow | Trouble::Burst if !fault.factor.is_some_and(|f| f > 0.0 && f <= 1000.0) => {
-                fail("factor: a figure above 0 expected".into())
+                fail("factor", "a figure above 0 expected".into())
             }
             Trouble::Neighbour | Trouble::Errors | Trouble::Gray | Trouble::Reset
                 if !fault.factor.is_some_and(|f| (0.0..=1.0).contains(&f)) =>
             {
-                fail("factor: a share from 0 to 1 expected".into())
+                fail("factor", "a share from 0 to 1 expected".into())
             }
             _ => Ok(()),
         }
     }
 }
 
-fn share(key: &str, range: Range) -> Result<(), String> {
+fn share(at: usize, key: &str, range: Range) -> Result<(), Bad> {
     let (least, most) = range.bounds();
     if least >= 0.0 && most <= 1.0 {
         Ok(())
     } else {
-        Err(format!("{key}: a share from 0 to 1 expected"))
+        bad(at, key, "a share from 0 to 1 expected")
     }
 }
 
@@ -829,18 +899,24 @@
 
     #[test]
     fn what_can_t_be_played_is_told_with_file_line_and_key() {
-        assert!(words("[load]\nrats = 3\n").starts_with("x.toml:5: unknown field `rats`"));
+        assert!(words("[load]\nrats = 3\n").starts_with("x.toml:5: load.rats: unknown field `rats`"));
         let fault = |rest: &str| words(&format!("[[fault]]\nkind = \"cut\"\nat_s = 2\n{rest}"));
-        assert_eq!(fault("zone = \"nowhere\"\n"), "x.toml:4: fault cut: zone: nowhere is not in fleet.zones");
-        assert_eq!(fault("for_s = 9\n"), "x.toml:4: fault cut: for_s: it ends after the 10 s of the run");
+        assert_eq!(
+            fault("zone = \"nowhere\"\n"),
+            "x.toml:4: fault[0].zone: cut: nowhere is not in fleet.zones"
+        );
+        assert_eq!(fault("for_s = 9\n"), "x.toml:4: fault[0].for_s: cut: it ends after the 10 s of the run");
         assert!(words("[server]\ncores = 0\n").contains("server.cores"));
-        assert!(words("[server]\nspeed = inf\n").contains("x.toml:5: inf is not within 0 and 1000000"));
+        assert!(words("[server]\nspeed = inf\n")
+            .contains("x.toml:5: server.speed: inf is not within 0 and 1000000"));
         assert!(words("[server]\nspeed = [2, 1]\n").contains("the least comes first"));
-        assert!(words("[clients]\nmax_retry_after_ms = -1\n").contains("x.toml:5: -1 is not within"));
+        assert!(words("[clients]\nmax_retry_after_ms = -1\n")
+            .contains("x.toml:5: clients.max_retry_after_ms: -1 is not within"));
         assert!(words("[server]\nspeed = \"fast\"\n").contains("a number or [least, most] expected"));
         assert!(words("[fleet]\nnodes = 4000\n").contains("fleet.nodes: 1 to 400"));
         assert!(words("[[fault]]\nkind = \"slow\"\nat_s = 1\n").contains("factor"));
-        assert!(words("[[fault]]\nkind = \"stop\"\nids = [7]\nat_s = 1\n").contains("ids: 7 is not there"));
+        assert!(words("[[fault]]\nkind = \"stop\"\nids = [7]\nat_s = 1\n")
+            .contains("fault[0].ids: stop: 7 is not there"));
         assert!(Plan::read("x.toml", "schema = 2\nname = \"x\"\nlength_s = 1").is_err());
     }
 }
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -7,6 +7,7 @@
 use plotters::coord::Shift;
 use plotters::prelude::*;
 
+use crate::error::FileError;
 use crate::result::{RunResult, SecondResult};
 
 type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
@@ -30,8 +31,8 @@
 ///
 /// # Errors
 /// Where the file can't be written.
-pub fn write(result: &RunResult, path: &Path) -> Result<(), String> {
-    draw(result, path).map_err(|e| format!("{}: {e}", path.display()))
+pub fn write(result: &RunResult, path: &Path) -> Result<(), FileError> {
+    draw(result, path).map_err(FileError::write(path))
 }
 
 fn draw(result: &RunResult, path: &Path) -> Drawn {
--- a/crates/lab/src/result.rs
+++ b/crates/lab/src/result.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::draw::Draw;
+use crate::error::{read_json, FileError};
 use crate::live::Played;
 use crate::plan::{Plan, Trouble};
 use crate::referee::Breach;
@@ -463,22 +464,17 @@
     ///
     /// # Errors
     /// Where it can't be written.
-    pub fn write(&self, path: &Path) -> std::io::Result<()> {
-        std::fs::write(path, serde_json::to_string_pretty(self)? + "\n")
+    pub fn write(&self, path: &Path) -> Result<(), FileError> {
+        let text = serde_json::to_string_pretty(self).map_err(FileError::write(path))?;
+        std::fs::write(path, text + "\n").map_err(FileError::write(path))
     }
 
     /// Reads the file.
     ///
     /// # Errors
-    /// One line that says what is wrong.
-    pub fn read(path: &Path) -> Result<Self, String> {
-        let file = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
-        let result: Self = serde_json::from_str(&text).map_err(|e| format!("{file}: {e}"))?;
-        if result.schema != SCHEMA {
-            return Err(format!("{file}: schema: {SCHEMA} is known, not {}", result.schema));
-        }
-        Ok(result)
+    /// Names the file and the field that is wrong.
+    pub fn read(path: &Path) -> Result<Self, FileError> {
+        read_json(path, SCHEMA, |result: &Self| result.schema)
     }
 }
 
--- a/crates/stoneshift/src/curve.rs
+++ b/crates/stoneshift/src/curve.rs
@@ -3,10 +3,13 @@
 use std::path::PathBuf;
 
 use clap::Args;
-use indicatif::{ProgressBar, ProgressStyle};
+use indicatif::ProgressBar;
 use lab::curve::{self, Curve};
 use lab::plan::Plan;
 
+use crate::failure::Failure;
+use crate::{make_folder, style};
+
 /// The largest load that is played, as a share of capacity.
 const LOAD_MOST: f64 = 10.0;
 /// The most loads, and the most draws of each.
@@ -43,47 +46,48 @@
     /// Plays all and writes the curve.
     ///
     /// # Errors
-    /// One line that says why it could not be played.
-    pub fn play(self) -> Result<bool, String> {
+    /// Why it could not be played.
+    pub fn play(self) -> Result<bool, Failure> {
         let loads = self.loads()?;
         if !(1..=PLAYS_MOST).contains(&self.draws) {
-            return Err(format!("--draws: 1 to {PLAYS_MOST} expected, not {}", self.draws));
+            return flag("--draws", format!("1 to {PLAYS_MOST} expected, not {}", self.draws));
         }
-        let plan = Plan::load(&self.file).map_err(|e| e.to_string())?;
+        let plan = Plan::load(&self.file)?;
         let before = self.before.as_deref().map(Curve::read).transpose()?;
         let first = self.seed.unwrap_or(plan.seed);
         let seeds: Vec<u64> = (0..self.draws as u64).map(|n| first.wrapping_add(n)).collect();
         // Hidden where standard error is not a terminal.
         let bar = ProgressBar::new((loads.len() * seeds.len()) as u64);
-        bar.set_style(
-            ProgressStyle::with_template("{bar:40} {pos} of {len} plays").map_err(|e| e.to_string())?,
-        );
+        bar.set_style(style("{bar:40} {pos} of {len} plays"));
         let curve = curve::measure(&plan, &loads, &seeds, &|done, _| bar.set_position(done as u64));
         bar.finish_and_clear();
         let curve = curve?;
-        let out = |what: &str, e: std::io::Error| format!("--out: {}: {what}: {e}", self.out.display());
-        std::fs::create_dir_all(&self.out).map_err(|e| out("folder", e))?;
-        curve.write(&self.out.join("curve.json")).map_err(|e| out("curve.json", e))?;
-        curve::write_plot(&curve, before.as_ref(), &self.out.join("curve.svg"))?;
+        make_folder(&self.out)?;
+        curve.write(&self.out.join("curve.json")).map_err(Failure::Out)?;
+        curve::write_plot(&curve, before.as_ref(), &self.out.join("curve.svg")).map_err(Failure::Out)?;
         table(&curve);
         println!("wrote curve.json and curve.svg in {}", self.out.display());
         Ok(true)
     }
 
-    fn loads(&self) -> Result<Vec<f64>, String> {
+    fn loads(&self) -> Result<Vec<f64>, Failure> {
         for (name, load) in [("--from", self.from), ("--to", self.to)] {
             if !(load > 0.0 && load <= LOAD_MOST) {
-                return Err(format!("{name}: a load above 0 and up to {LOAD_MOST} expected, not {load}"));
+                return flag(name, format!("a load above 0 and up to {LOAD_MOST} expected, not {load}"));
             }
         }
         if !(1..=PLAYS_MOST).contains(&self.loads) {
-            return Err(format!("--loads: 1 to {PLAYS_MOST} expected, not {}", self.loads));
+            return flag("--loads", format!("1 to {PLAYS_MOST} expected, not {}", self.loads));
         }
         let step = (self.to - self.from) / (self.loads.max(2) - 1) as f64;
         Ok((0..self.loads).map(|n| self.from + step * n as f64).collect())
     }
 }
 
+fn flag<T>(flag: &'static str, words: String) -> Result<T, Failure> {
+    Err(Failure::Flag { flag, words })
+}
+
 fn table(curve: &Curve) {
     let [nodes, servers] = curve.fleet;
     println!(
--- a/crates/stoneshift/src/main.rs
+++ b/crates/stoneshift/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 0 what must hold held, 1 it did not or the run does not count, 2 the call or a file is wrong.
 
 mod curve;
+mod failure;
 mod model;
 mod run;
 mod table;
@@ -13,7 +14,11 @@
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
+use indicatif::ProgressStyle;
 use lab::compare;
+use lab::error::FileError;
+
+use self::failure::Failure;
 
 /// Tools round the load-balancing node.
 #[derive(Debug, Parser)]
@@ -93,30 +98,41 @@
     match done {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
-        Err(words) => {
-            eprintln!("stoneshift: {}", words.replace('\n', " "));
+        Err(failure) => {
+            let line = format!("{failure}; {}", failure.advice());
+            eprintln!("stoneshift: {}", line.replace('\n', " "));
             ExitCode::from(2)
         }
     }
 }
 
-fn report(a: &Path, b: &Path) -> Result<bool, String> {
+fn report(a: &Path, b: &Path) -> Result<bool, Failure> {
     print!("{}", compare::compare(&compare::load(a)?, &compare::load(b)?));
     Ok(true)
 }
 
 /// The node's program: what was named, or the one beside this program.
-fn node_program(named: Option<PathBuf>) -> Result<PathBuf, String> {
+fn node_program(named: Option<PathBuf>) -> Result<PathBuf, Failure> {
     let program = match named {
         Some(path) => path,
         None => {
-            let own = std::env::current_exe().map_err(|e| format!("own program: {e}"))?;
+            let own = std::env::current_exe().map_err(Failure::Own)?;
             own.with_file_name("glenwood")
         }
     };
-    if program.is_file() {
-        Ok(program)
-    } else {
-        Err(format!("--node: {} is not there; build it with `cargo build --release`", program.display()))
+    // A whole path: a name without a folder would be searched for elsewhere.
+    match program.canonicalize() {
+        Ok(path) if path.is_file() => Ok(path),
+        _ => Err(Failure::Program { flag: "--node", program }),
     }
 }
+
+/// Makes the folder that results go to.
+fn make_folder(out: &Path) -> Result<(), Failure> {
+    std::fs::create_dir_all(out).map_err(FileError::write(out)).map_err(Failure::Out)
+}
+
+/// How a progress bar looks; as ever where the template is not one.
+fn style(template: &str) -> ProgressStyle {
+    ProgressStyle::with_template(template).unwrap_or_else(|_| ProgressStyle::default_bar())
+}
--- a/crates/stoneshift/src/model.rs
+++ b/crates/stoneshift/src/model.rs
@@ -15,7 +15,8 @@
 use lab::world::World;
 use tulipmount::Status;
 
-use crate::table;
+use crate::failure::Failure;
+use crate::{make_folder, table};
 
 #[derive(Debug, Args)]
 pub struct Model {
@@ -42,9 +43,9 @@
     /// Plays it; true where all held.
     ///
     /// # Errors
-    /// One line that says why it could not be played.
-    pub fn play(self) -> Result<bool, String> {
-        let mut plan = Plan::load(&self.file).map_err(|e| e.to_string())?;
+    /// Why it could not be played.
+    pub fn play(self) -> Result<bool, Failure> {
+        let mut plan = Plan::load(&self.file)?;
         if let Some(nodes) = self.nodes {
             plan.fleet.get_mut().nodes = lab::plan::Range::Fixed(f64::from(nodes));
         }
@@ -68,10 +69,9 @@
             let result = RunResult::new(&plan, &played, &random, &oracle);
             if let Some(out) = &self.out {
                 let out = out.join(seed.to_string());
-                let fail = |e: std::io::Error| format!("--out: {}: {e}", out.display());
-                std::fs::create_dir_all(&out).map_err(fail)?;
-                result.write(&out.join("result.json")).map_err(fail)?;
-                plot::write(&result, &out.join("run.svg"))?;
+                make_folder(&out)?;
+                result.write(&out.join("result.json")).map_err(Failure::Out)?;
+                plot::write(&result, &out.join("run.svg")).map_err(Failure::Out)?;
             }
             if self.seconds {
                 ends(&result, &played.world);
--- a/crates/stoneshift/src/run.rs
+++ b/crates/stoneshift/src/run.rs
@@ -4,15 +4,17 @@
 use std::rc::Rc;
 
 use clap::Args;
-use indicatif::{ProgressBar, ProgressStyle};
+use indicatif::ProgressBar;
 use lab::baseline::{self, Policy};
 use lab::draw::{Draw, ARRIVALS_MOST};
+use lab::error::FileError;
 use lab::live::{self, Options};
 use lab::plan::Plan;
 use lab::plot;
 use lab::result::{RunResult, Verdict};
 
-use crate::{node_program, table};
+use crate::failure::Failure;
+use crate::{make_folder, node_program, style, table};
 
 #[derive(Debug, Args)]
 pub struct Run {
@@ -33,20 +35,18 @@
     /// Plays it; true where all held.
     ///
     /// # Errors
-    /// One line that says why it could not be played.
-    pub fn play(self) -> Result<bool, String> {
-        let plan = Plan::load(&self.file).map_err(|e| e.to_string())?;
+    /// Why it could not be played.
+    pub fn play(self) -> Result<bool, Failure> {
+        let plan = Plan::load(&self.file)?;
         let program = node_program(self.node)?;
-        let program = program.canonicalize().map_err(|e| format!("{}: {e}", program.display()))?;
-        let out = |what: &str, e: std::io::Error| format!("--out: {}: {what}: {e}", self.out.display());
-        std::fs::create_dir_all(&self.out).map_err(|e| out("folder", e))?;
+        make_folder(&self.out)?;
         let logs = self.out.join("logs");
         if logs.is_dir() {
-            std::fs::remove_dir_all(&logs).map_err(|e| out("old logs", e))?;
+            std::fs::remove_dir_all(&logs).map_err(FileError::write(&logs)).map_err(Failure::Out)?;
         }
         let draw = Rc::new(Draw::new(&plan, self.seed.unwrap_or(plan.seed)));
         if draw.arrivals.len() >= ARRIVALS_MOST {
-            return Err(format!("{}: load: more than {ARRIVALS_MOST} requests", self.file.display()));
+            return Err(Failure::Load { file: self.file, most: ARRIVALS_MOST });
         }
         println!(
             "{}: seed {}, {} nodes, {} servers in {} zones, {} requests in {} s",
@@ -62,18 +62,17 @@
             [Policy::Random, Policy::Oracle].map(|policy| baseline::play(&draw, &plan.rules, policy));
         // Hidden where standard error is not a terminal.
         let bar = ProgressBar::new(1000);
-        let style = ProgressStyle::with_template("{bar:40} {percent}% {msg}").map_err(|e| e.to_string())?;
-        bar.set_style(style);
+        bar.set_style(style("{bar:40} {percent}% {msg}"));
         let progress = |share: f64, served: f64| {
             bar.set_position((share.min(1.0) * 1e3) as u64);
             bar.set_message(format!("served of late {served:.3}"));
         };
         let played = live::play(&plan, draw, &Options { program, logs: &logs, progress: &progress });
         bar.finish_and_clear();
-        let played = played.map_err(|e| e.to_string())?;
+        let played = played?;
         let result = RunResult::new(&plan, &played, &random, &oracle);
-        result.write(&self.out.join("result.json")).map_err(|e| out("result.json", e))?;
-        plot::write(&result, &self.out.join("run.svg"))?;
+        result.write(&self.out.join("result.json")).map_err(Failure::Out)?;
+        plot::write(&result, &self.out.join("run.svg")).map_err(Failure::Out)?;
         print!("{}", table::of(&result));
         println!("wrote result.json and run.svg in {}", self.out.display());
         Ok(result.verdict == Verdict::Held)
--- a/crates/stoneshift/tests/lab.rs
+++ b/crates/stoneshift/tests/lab.rs
@@ -103,7 +103,10 @@
     let (output, result) = play("length_s = 2\n[fleet]\nnods = 3\n", &[]);
     assert_eq!((output.status.code(), result.is_none()), (Some(2), true));
     let words = said(&output);
-    assert!(words.contains("x.toml:5: unknown field `nods`") && words.lines().count() == 1, "{words}");
+    assert!(
+        words.contains("x.toml:5: fleet.nods: unknown field `nods`") && words.lines().count() == 1,
+        "{words}"
+    );
 
     let (output, _) = play("length_s = 2\n", &["--node", "/nowhere/glenwood"]);
     assert_eq!(output.status.code(), Some(2));
