Read a replica's configuration; share what is agreed with all who watch

Need: the control group's replicas want a checked configuration, and many watchers of one encoded line.

config: TOML, unknown fields refused, one line with file, field path and what is expected; spans checked against each other (a promise outlasts an election, two beats and the reserve). hub: one line shared by all watchers. As a line holds the whole state a slow watcher needs only the newest: no queue. gate: count and stop flag under one lock, for calls in flight at a stop.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,3 +15,7 @@
 //! one does; the leader's memory is enough, as members say again what they have staged to whoever leads next.
 
 pub mod command;
+pub mod config;
+pub mod gate;
+pub mod hub;
+pub mod sync;
