--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -19,8 +19,9 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RosterCommand {
-    /// A process becomes a member. Unless it comes `beside`, older processes of its name are proven ended by it.
-    /// Repeated, it changes nothing; from a process that was superseded, it is refused.
+    /// A process becomes a member. Unless it comes `beside`, older processes of its name are members no more: a leader
+    /// writes it only when these were silent for a session (a name belongs to one node). Repeated, it changes no
+    /// member; from a process that has left, it is refused.
     Join {
         /// Who.
         process: Process,
@@ -28,6 +29,12 @@
         life: SocketAddr,
         /// An older process of its name stays a member.
         beside: bool,
+        /// It takes nothing without a lease, from now to its end.
+        #[serde(default)]
+        fenced: bool,
+        /// The epoch that it knows: none of the numbers up to this is given to another policy.
+        #[serde(default)]
+        active: Option<Epoch>,
     },
     /// A process is no member any more.
     Ended {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,10 +3,12 @@
 //! | module | what it knows |
 //! | --- | --- |
 //! | [`command`] | the log's commands, one enum a module, and what comes of them |
-//! | `roster` | which processes are members: join, leave, proven ended, removed |
-//! | `policy` | the agreed epoch, the change under way, how changes ended |
-//! | `machine` | both on the log: [`consensus::Machine`] |
-//! | `leader` | pure too, but not on the log: sessions, promises and leases by one leader's monotonic clock; what it would have written, answered and asked |
+//! | [`roster`] | which processes are members: join, leave, proven ended, removed |
+//! | [`policy`] | the agreed epoch, the change under way, how changes ended |
+//! | [`machine`] | both on the log: [`consensus::Machine`] |
+//! | [`leader`] | pure too, but not on the log: sessions, promises and leases by one leader's monotonic clock; what it would have written, answered and asked |
+//! | [`config`] | one replica's configuration, checked whole |
+//! | [`hub`], [`gate`], [`sync`] | what threads share: the watch's newest line, and who is inside |
 //! | `edge` | HTTP: nodes' beats and watches, operators' calls, the replicas' own messages |
 //!
 //! Adding a subject (votes, the list, the catalog) is adding a module, its commands and its part of the snapshot.
@@ -18,4 +20,8 @@
 pub mod config;
 pub mod gate;
 pub mod hub;
+pub mod leader;
+pub mod machine;
+pub mod policy;
+pub mod roster;
 pub mod sync;
--- /dev/null
+++ b/crates/control/src/machine.rs
@@ -0,0 +1,104 @@
+//! Roster and policy on the log: what [`consensus`] drives.
+
+use consensus::Machine;
+use member::Agreed;
+use serde::{Deserialize, Serialize};
+
+use crate::command::{Command, Outcome, RosterCommand};
+use crate::policy::Book;
+use crate::roster::Roster;
+
+/// The schema of the snapshots that this program writes.
+const SCHEMA: u32 = 1;
+
+/// All that the fleet agrees on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Agreement {
+    version: u64,
+    roster: Roster,
+    book: Book,
+}
+
+/// A snapshot as JSON; a later schema may be another shape, but keeps this field.
+#[derive(Deserialize)]
+struct Header {
+    schema: u32,
+}
+
+/// Schema 1.
+#[derive(Deserialize, Serialize)]
+struct Snapshot {
+    schema: u32,
+    version: u64,
+    roster: Roster,
+    policy: Book,
+}
+
+impl Agreement {
+    /// Nobody and epoch 0.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The version of the last command that was taken.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The members.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// What is agreed on policy.
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// What nodes are told of policy.
+    pub fn agreed(&self) -> Agreed {
+        self.book.agreed(self.version)
+    }
+}
+
+impl Machine for Agreement {
+    type Command = Command;
+    type Reply = Outcome;
+
+    fn apply(&mut self, version: u64, command: &Command) -> Outcome {
+        self.version = version;
+        match command {
+            Command::Roster(command) => {
+                if let RosterCommand::Join { active: Some(active), .. } = command {
+                    self.book.raise(*active);
+                }
+                self.roster.apply(command)
+            }
+            Command::Policy(command) => self.book.apply(version, command, &self.roster),
+        }
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let snapshot = Snapshot {
+            schema: SCHEMA,
+            version: self.version,
+            roster: self.roster.clone(),
+            policy: self.book.clone(),
+        };
+        serde_json::to_vec(&snapshot).expect("names and JSON values always serialize")
+    }
+
+    fn restore(bytes: &[u8]) -> Result<Self, String> {
+        let header: Header =
+            serde_json::from_slice(bytes).map_err(|e| format!("snapshot is damaged: {e}"))?;
+        if header.schema > SCHEMA {
+            return Err(format!(
+                "snapshot has schema {}, this program reads up to {SCHEMA}: start the newer program again",
+                header.schema
+            ));
+        }
+        let Snapshot { version, roster, policy, .. } =
+            serde_json::from_slice(bytes).map_err(|e| format!("snapshot is damaged: {e}"))?;
+        Ok(Self { version, roster, book: policy })
+    }
+}
--- /dev/null
+++ b/crates/control/src/policy.rs
@@ -0,0 +1,161 @@
+//! The agreed epoch, the change under way and how changes ended, on the log.
+//!
+//! Need: one change at a time, with one outcome, and no number of an epoch that stands for two policies. Shape: a
+//! number is given when a change is proposed and never again, so that "nothing was admitted under an aborted epoch"
+//! can be told from requests alone. A member may have known a higher number than the log does (a group that was set up
+//! again from an old backup): [`Book::raise`] keeps clear of it.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use member::{Abort, Agreed, Change, ChangeId, Ended, Epoch, Policy, Process};
+use serde::{Deserialize, Serialize};
+
+use crate::command::{Outcome, PolicyCommand};
+use crate::roster::Roster;
+
+/// The largest policy, in bytes of JSON.
+pub const POLICY_MOST: usize = 64 * 1024;
+/// How many ended changes are kept.
+pub const HISTORY: usize = 32;
+/// How many of them each [`Agreed`] tells of.
+pub const TOLD: usize = 4;
+/// How many nodes or processes a list of missing ones names.
+pub const NAMED: usize = 8;
+/// The longest words of a refusal, in bytes.
+const WORDS_MOST: usize = 256;
+/// The highest number that is believed of a member: far from where counting on would overflow.
+pub const EPOCH_MOST: Epoch = 1 << 52;
+
+/// What is agreed on policy.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Book {
+    epoch: Epoch,
+    policy: Policy,
+    /// The highest number that was given, or that a member has known.
+    given: Epoch,
+    change: Option<Change>,
+    ended: VecDeque<Ended>,
+}
+
+impl Book {
+    /// Takes a command at a version of the log; `roster` is the one at this entry.
+    pub fn apply(&mut self, version: u64, command: &PolicyCommand, roster: &Roster) -> Outcome {
+        match command {
+            PolicyCommand::Propose { base, policy } => self.propose(version, *base, policy),
+            PolicyCommand::Commit { change, staged, fenced } => {
+                if self.change.as_ref().map(|change| change.id) != Some(*change) {
+                    return Outcome::Over;
+                }
+                let staged: BTreeSet<&Process> = staged.iter().collect();
+                let fenced: BTreeSet<&Process> = fenced.iter().collect();
+                let covered = |process: &Process, may: bool| {
+                    staged.contains(process) || (may && fenced.contains(process))
+                };
+                let missing: Vec<Process> = roster
+                    .members()
+                    .filter(|(process, seat)| !covered(process, seat.fenced))
+                    .map(|(process, _)| process.clone())
+                    .take(NAMED)
+                    .collect();
+                if missing.is_empty() {
+                    self.end(None);
+                    Outcome::Done
+                } else {
+                    Outcome::Uncovered { missing }
+                }
+            }
+            PolicyCommand::Abort { change, why } => match &self.change {
+                Some(under_way) if under_way.id == *change => {
+                    self.end(Some(bounded(why)));
+                    Outcome::Done
+                }
+                _ => Outcome::Over,
+            },
+        }
+    }
+
+    /// A member has known this epoch: no number up to it is given again.
+    pub fn raise(&mut self, known: Epoch) {
+        if known <= EPOCH_MOST {
+            self.given = self.given.max(known);
+        }
+    }
+
+    /// The agreed epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// The agreed policy.
+    pub fn policy(&self) -> &Policy {
+        &self.policy
+    }
+
+    /// The highest number that was given, or that a member has known.
+    pub fn given(&self) -> Epoch {
+        self.given
+    }
+
+    /// The change under way.
+    pub fn change(&self) -> Option<&Change> {
+        self.change.as_ref()
+    }
+
+    /// How the last changes ended, newest last.
+    pub fn ended(&self) -> impl DoubleEndedIterator<Item = &Ended> {
+        self.ended.iter()
+    }
+
+    /// What nodes are told, at a version of the log.
+    pub fn agreed(&self, version: u64) -> Agreed {
+        let told = self.ended.len().saturating_sub(TOLD);
+        Agreed {
+            version,
+            epoch: self.epoch,
+            policy: self.policy.clone(),
+            change: self.change.clone(),
+            ended: self.ended.iter().skip(told).cloned().collect(),
+        }
+    }
+
+    fn propose(&mut self, version: u64, base: Epoch, policy: &Policy) -> Outcome {
+        if let Some(change) = &self.change {
+            return Outcome::Busy { change: change.id };
+        }
+        if base != self.epoch {
+            return Outcome::Stale { epoch: self.epoch };
+        }
+        let size = serde_json::to_vec(policy).map_or(usize::MAX, |bytes| bytes.len());
+        if size > POLICY_MOST {
+            return Outcome::TooMuch;
+        }
+        self.given += 1;
+        let (id, epoch) = (ChangeId(version), self.given);
+        self.change = Some(Change { id, epoch, policy: policy.clone() });
+        Outcome::Proposed { change: id, epoch }
+    }
+
+    fn end(&mut self, aborted: Option<Abort>) {
+        let Some(change) = self.change.take() else { return };
+        self.ended.push_back(Ended { id: change.id, epoch: change.epoch, aborted: aborted.clone() });
+        if self.ended.len() > HISTORY {
+            self.ended.pop_front();
+        }
+        if aborted.is_none() {
+            (self.epoch, self.policy) = (change.epoch, change.policy);
+        }
+    }
+}
+
+/// The reason with its lists and words cut to their bounds.
+fn bounded(why: &Abort) -> Abort {
+    match why {
+        Abort::Refused { node, words } => {
+            let end = (0..=words.len().min(WORDS_MOST)).rev().find(|&at| words.is_char_boundary(at));
+            Abort::Refused { node: node.clone(), words: words[..end.unwrap_or(0)].to_owned() }
+        }
+        Abort::Silent { nodes } => Abort::Silent { nodes: nodes.iter().take(NAMED).cloned().collect() },
+        Abort::Operator => Abort::Operator,
+        Abort::Late => Abort::Late,
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -24,9 +24,11 @@
 
 pub mod messages;
 pub mod policy;
+pub mod side;
 
 pub use messages::*;
 pub use policy::Policy;
+pub use side::{Effect, Held, Member, MemberConfig, Saved, Start};
 
 /// A time or a span on one process's monotonic clock, in milliseconds.
 pub type Millis = f64;
--- a/crates/member/src/messages.rs
+++ b/crates/member/src/messages.rs
@@ -11,7 +11,8 @@
 
 use crate::{Millis, Policy};
 
-/// The number of an agreed policy; 0 is the settings that each node was started with. Grows by one a commit.
+/// The number of an agreed policy; 0 is the settings that each node was started with. Grows with each commit; the
+/// number of a change that was aborted is never given again.
 pub type Epoch = u64;
 
 /// Which process of a node speaks.
@@ -94,7 +95,7 @@
     /// for a process that judges by `agreed.epoch`. `None` in a beat's answer of a fenced fleet grants nothing.
     #[serde(default)]
     pub lease_ms: Option<Millis>,
-    /// The fleet is fenced: without a lease nothing new is taken.
+    /// This process is fenced, from its join to its end: without a lease it takes nothing new.
     #[serde(default)]
     pub fenced: bool,
     /// For how long after the beat's sending a promise about a change lasts.
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
 use net::admin::Admin;
 use net::clients::Clients;
 use net::config::{self, Config};
+use net::hands::Tasks;
 use net::node::Node;
 use net::{listen, log};
 use tokio::net::TcpListener;
@@ -72,7 +73,7 @@
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signal: {e}"))?;
     let listener = TcpListener::from_std(listener).map_err(|e| format!("listen: {e}"))?;
     let admin = config.admin.map(|at| listen::bind("admin_addr", at)).transpose()?;
-    let node = Node::new(config).map_err(|e| format!("settings: {e}"))?;
+    let node = Node::new(config, Box::new(Tasks)).map_err(|e| format!("settings: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     if let Some(listener) = admin {
         let listener = TcpListener::from_std(listener).map_err(|e| format!("admin_addr: {e}"))?;
@@ -145,7 +146,7 @@
         // with the answers that close; an idle connection that is closed may cross a request.
         drop(listener);
         node.share_memory();
-        node.pool.shrink(node);
+        node.pool.shrink(node.server_connections());
         clients.shrink();
         close_idle = kill - CLOSE_BEFORE;
     } else {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -19,11 +19,11 @@
 use tokio::time::timeout;
 use tulipmount::{Effect, Millis, RequestId};
 
-use super::bodies::{gather, Coming, Cut, Fate, Gathered, Kept, Outgoing, Pace, Paced, Passage, Side};
+use super::bodies::{gather, Cut, Fate, Gathered, Outgoing, Pace, Paced, Side};
 use super::log;
 use super::metrics::{End, Taken};
-use super::node::{Answer, Node, Reply};
-use super::servers::REMAINING;
+use super::node::Node;
+use super::request::{end_to_end, Answer, Asked, Reply, REMAINING, TXN};
 use super::sock::{Io, Length, Phase, Sock};
 
 /// How long before the client's deadline the module's ends: the answer still has to be written and to
@@ -58,7 +58,6 @@
 /// How long accepting rests when descriptors have run out.
 const EXHAUSTED: Duration = Duration::from_millis(20);
 
-const TXN: HeaderName = HeaderName::from_static("x-txn");
 const ORG: HeaderName = HeaderName::from_static("x-org");
 /// A client's guess at the work.
 const ESTIMATE: HeaderName = HeaderName::from_static("x-estimate");
@@ -66,113 +65,6 @@
 const RESENT: HeaderName = HeaderName::from_static("x-resent");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
-/// A request as it goes on to a server.
-pub struct Asked {
-    /// Index of its class.
-    pub class: usize,
-    /// Index of its tenant.
-    pub tenant: Option<usize>,
-    /// Its client marks it as a repeat.
-    pub again: bool,
-    /// Its client's guess at its work.
-    pub work: Option<Millis>,
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// The headers that go on.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: AskedBody,
-}
-
-/// The body of a request.
-pub enum AskedBody {
-    /// Held whole, for as many attempts as it takes.
-    Kept(Kept),
-    /// Passed on as it comes, in one attempt.
-    Coming(RefCell<Option<Coming>>, Passage),
-}
-
-impl AskedBody {
-    /// What one attempt sends; `None` where an earlier one has taken it.
-    pub fn outgoing(&self) -> Option<Outgoing> {
-        match self {
-            Self::Kept(kept) => Some(Outgoing::held(kept.bytes.clone())),
-            Self::Coming(coming, _) => coming.take().map(Outgoing::Coming),
-        }
-    }
-
-    /// Where the fate of one that is coming can be seen.
-    pub fn passage(&self) -> Option<&Passage> {
-        match self {
-            Self::Kept(..) => None,
-            Self::Coming(_, passage) => Some(passage),
-        }
-    }
-}
-
-impl From<Gathered> for AskedBody {
-    fn from(body: Gathered) -> Self {
-        match body {
-            Gathered::Whole(kept) => Self::Kept(kept),
-            Gathered::Coming(coming) => {
-                let passage = coming.passage();
-                Self::Coming(RefCell::new(Some(coming)), passage)
-            }
-        }
-    }
-}
-
-impl Asked {
-    /// The request of a probe.
-    pub fn probe() -> Self {
-        let mut headers = HeaderMap::new();
-        headers.insert(HOST, HeaderValue::from_static("service.internal"));
-        let uri = Uri::from_static("/health");
-        Self {
-            class: 0,
-            tenant: None,
-            again: false,
-            work: None,
-            method: Method::GET,
-            uri,
-            headers,
-            body: AskedBody::Kept(Bytes::new().into()),
-        }
-    }
-
-    /// Its id, for the log.
-    pub fn txn(&self) -> &str {
-        self.headers.get(TXN).and_then(|v| v.to_str().ok()).unwrap_or("no id")
-    }
-}
-
-/// The headers that are not about one connection alone.
-pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    const HOP: [&str; 10] = [
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    ];
-    let named: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let goes = |name: &HeaderName| !HOP.contains(&name.as_str()) && !named.iter().any(|n| n == name.as_str());
-    headers.iter().filter(|(name, _)| goes(name)).map(|(n, v)| (n.clone(), v.clone())).collect()
-}
-
 struct Client {
     sock: Rc<Sock>,
     close: Notify,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use endpoints::{Health, Lines, Unreadable, Update};
+use endpoints::{Lines, Unreadable, Update};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tulipmount::{Discovery, Listed};
+use tulipmount::Discovery;
 
 use super::log;
 use super::node::Node;
@@ -31,15 +31,6 @@
 /// as told, so it is soon.
 const AGAIN: Duration = Duration::from_millis(100);
 
-/// What the list's word for a state means to the module.
-pub fn listed(health: Health) -> Listed {
-    match health {
-        Health::Active => Listed::Up,
-        Health::Leaving => Listed::Draining,
-        Health::Left => Listed::Gone,
-    }
-}
-
 /// Why a call ended.
 enum Ended {
     /// It failed or broke.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use endpoints::Update;
-use hyper::{HeaderMap, StatusCode};
+use endpoints::{Health, Update};
+use hyper::StatusCode;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use tulipmount::{
@@ -18,13 +18,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::bans::{Bans, Change};
-use super::bodies::{Budget, Gathered};
-use super::clients::Asked;
+use super::bodies::Budget;
 use super::config::Config;
-use super::discovery;
 use super::log;
 use super::metrics::Metrics;
-use super::servers::{self, Pool};
+use super::pool::Pool;
+use super::request::{Answer, Asked, Reply, To};
 
 /// How long the node waits for discovery before it serves by the saved list.
 const READY_WITHIN: Duration = Duration::from_millis(2500);
@@ -50,22 +49,15 @@
     Old,
 }
 
-/// The final answer of a request.
-pub enum Answer {
-    /// A server's answer.
-    Served(Box<Reply>),
-    /// Refused: trying again is harmless, after this time.
-    Refused(Millis),
-    /// Failed.
-    Failed,
-}
-
-/// A server's answer.
-pub struct Reply {
-    /// Its headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Gathered,
+/// Who does on sockets what the node decides. Each call begins something that goes on by itself, and tells the node
+/// how it ended.
+pub trait Hands {
+    /// One attempt at a request.
+    fn attempt(&self, node: Rc<Node>, to: To, asked: Rc<Asked>) -> AbortHandle;
+    /// One probe of a server.
+    fn probe(&self, node: Rc<Node>, server: ServerId);
+    /// Follows discovery: for one call where the module asks, for good where changes come unprompted.
+    fn follow(&self, node: Rc<Node>) -> AbortHandle;
 }
 
 /// Monotonic time for the module, and its relation to Unix time at the start.
@@ -151,6 +143,7 @@
     pub closing: Cell<Option<Instant>>,
     /// Where discovery is now.
     pub discovery: Cell<SocketAddr>,
+    hands: Box<dyn Hands>,
     clock: Clock,
     informed: Cell<bool>,
     state: RefCell<State>,
@@ -167,7 +160,7 @@
     ///
     /// # Errors
     /// Where the module refuses the settings.
-    pub fn new(mut config: Config) -> Result<Rc<Self>, SettingsError> {
+    pub fn new(mut config: Config, hands: Box<dyn Hands>) -> Result<Rc<Self>, SettingsError> {
         let balancer = Balancer::new(config.told.settings.clone(), config.seed)?;
         let known = config.known.take();
         let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
@@ -191,6 +184,7 @@
             discovery: Cell::new(config.discovery),
             config,
             closing: Cell::new(None),
+            hands,
             clock: Clock::new(),
             informed: Cell::new(false),
             state: RefCell::new(state),
@@ -463,9 +457,7 @@
             Action::Fail(id) => self.answer(id, Answer::Failed),
             Action::SetTimer(after) => self.set_timer(after),
             Action::Subscribe => self.subscribe(),
-            Action::Probe(server) => {
-                tokio::task::spawn_local(servers::probe(self.clone(), server));
-            }
+            Action::Probe(server) => self.hands.probe(self.clone(), server),
         }
     }
 
@@ -475,9 +467,8 @@
         let now = Instant::now();
         let end = now + span(timeout.unwrap_or(f64::INFINITY));
         let attempt = open.attempts.len();
-        let task =
-            servers::attempt(self.clone(), servers::To { id, attempt, server, end }, open.asked.clone());
-        let task = tokio::task::spawn_local(task).abort_handle();
+        let to = To { id, attempt, server, end };
+        let task = self.hands.attempt(self.clone(), to, open.asked.clone());
         open.attempts.push(Try { server, sent: now, task: Some(task) });
     }
 
@@ -517,14 +508,11 @@
 
     // ---- The list ----
 
-    /// Begins to follow discovery: for one call where the module asks, for good where changes come unprompted.
+    /// Begins to follow discovery.
     fn subscribe(self: &Rc<Self>) {
-        let call = match self.config.told.settings.discovery {
-            Discovery::Pushed => tokio::task::spawn_local(discovery::keep(self.clone())),
-            Discovery::Asked => tokio::task::spawn_local(discovery::follow(self.clone())),
-        };
+        let call = self.hands.follow(self.clone());
         // One call at a time: what the module no longer waits for is only load on the service.
-        if let Some(old) = self.state.borrow_mut().call.replace(call.abort_handle()) {
+        if let Some(old) = self.state.borrow_mut().call.replace(call) {
             old.abort();
         }
     }
@@ -589,7 +577,7 @@
     /// Notes what a line says of a server. It holds from now on, also for sends on their way.
     fn enter(&self, hosts: &mut HashMap<ServerId, Host>, host: endpoints::Host) -> Option<Entry> {
         let server = ServerId(number_of(&host.host));
-        let state = discovery::listed(host.health);
+        let state = listed(host.health);
         let before = hosts.get(&server);
         if let Some(other) = before.filter(|b| b.name != host.host) {
             log::line(format!("discovery: {} and {} have one number, left out", other.name, host.host));
@@ -681,6 +669,15 @@
     }
 }
 
+/// What the list's word for a state means to the module.
+fn listed(health: Health) -> Listed {
+    match health {
+        Health::Active => Listed::Up,
+        Health::Leaving => Listed::Draining,
+        Health::Left => Listed::Gone,
+    }
+}
+
 fn give(open: &mut Open, answer: Answer) {
     if let Some(to) = open.answer.take() {
         // A client that has just left needs no answer.
