--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -275,8 +275,9 @@
     begun: u64,
     done: u64,
     asked: Option<Millis>,
-    /// Not before this is a failed confirm or decision tried again.
-    retry_at: Millis,
+    /// Not before these is a confirm asked for, or anything written, as the last one failed.
+    confirm_at: Millis,
+    write_at: Millis,
     probe_at: Millis,
     now: Millis,
 }
@@ -295,7 +296,8 @@
             begun: 0,
             done: 0,
             asked: None,
-            retry_at: now,
+            confirm_at: now,
+            write_at: now,
             probe_at: now,
             now,
         }
@@ -317,7 +319,7 @@
             Input::Unconfirmed { asked } => {
                 if self.asked == Some(asked) {
                     self.asked = None;
-                    self.retry_at = now + self.pace();
+                    self.confirm_at = now + self.pace();
                 }
             }
             Input::Probed { process, refused } => self.probed(now, process, refused, &mut effects),
@@ -328,7 +330,9 @@
         self.answer(now, agreement, &mut effects);
         self.decide(now, agreement, &mut effects);
         self.probe(now, agreement, &mut effects);
-        if self.asked.is_none() && now >= self.retry_at && self.waiting.values().any(|w| w.round > self.done)
+        if self.asked.is_none()
+            && now >= self.confirm_at
+            && self.waiting.values().any(|w| w.round > self.done)
         {
             self.begun += 1;
             self.asked = Some(now);
@@ -448,7 +452,7 @@
             }
             keep
         });
-        if now < self.retry_at {
+        if now < self.write_at {
             return;
         }
         let roster = agreement.roster();
@@ -528,7 +532,7 @@
     /// Whether the change under way can end now.
     fn decide(&mut self, now: Millis, agreement: &Agreement, effects: &mut Vec<Effect>) {
         let Some(staging) = self.staging.as_ref().filter(|staging| !staging.deciding) else { return };
-        if now < self.retry_at {
+        if now < self.write_at {
             return;
         }
         let (change, began) = (staging.id, staging.began);
@@ -557,6 +561,9 @@
         let command = if let Some(why) = abort {
             PolicyCommand::Abort { change, why }
         } else if missing.is_empty() {
+            if !self.writing.is_empty() && now < due {
+                return; // A join on its way would make it void, or be asked nothing.
+            }
             PolicyCommand::Commit { change, staged, fenced: fenced.iter().cloned().collect() }
         } else if now >= due && !waits {
             let nodes = missing.into_iter().take(NAMED).collect();
@@ -588,7 +595,7 @@
                     }
                 }
                 if outcome.is_none() {
-                    self.retry_at = now + self.pace();
+                    self.write_at = now + self.pace();
                 }
             }
             Command::Roster(RosterCommand::Ended { process, .. }) => {
@@ -603,7 +610,7 @@
                 match outcome {
                     Some(Outcome::Uncovered { .. }) => staging.frozen.clear(),
                     Some(_) => {}
-                    None => self.retry_at = now + self.pace(),
+                    None => self.write_at = now + self.pace(),
                 }
             }
             Command::Policy(PolicyCommand::Propose { .. }) => {}
--- /dev/null
+++ b/crates/member/tests/side.rs
@@ -0,0 +1,222 @@
+//! The rules by which a node takes requests, one test each.
+
+use member::*;
+use serde_json::json;
+
+fn policy(slo: u64) -> Policy {
+    Policy(json!({"Limits": {"OpenCap": slo}}).as_object().expect("it is one").clone())
+}
+
+fn member(start: Start, saved: Option<Saved>) -> Member {
+    let process = Process { name: "n1".to_owned(), boot: 7 };
+    let life = "127.0.0.1:9".parse().expect("an address");
+    Member::new(MemberConfig { process, life, beside: false, start }, saved, 0.0)
+}
+
+/// What is agreed at a version: an epoch (whose policy is told by its number) and maybe a change.
+fn agreed(version: u64, epoch: Epoch, change: Option<(u64, Epoch)>) -> Agreed {
+    let change = change.map(|(id, epoch)| Change { id: ChangeId(id), epoch, policy: policy(epoch) });
+    Agreed { version, epoch, policy: policy(epoch), change, ended: Vec::new() }
+}
+
+fn answer(at: Millis, agreed: Agreed) -> Answer {
+    Answer {
+        stamp: Stamp { term: 1, at },
+        agreed,
+        beat_ms: 250.0,
+        lease_ms: None,
+        fenced: false,
+        promise_ms: 2000.0,
+        superseded: false,
+    }
+}
+
+fn leased(at: Millis, agreed: Agreed) -> Answer {
+    Answer { lease_ms: Some(2000.0), fenced: true, ..answer(at, agreed) }
+}
+
+fn activated(effects: &[Effect]) -> Vec<Epoch> {
+    let epoch = |effect: &Effect| match effect {
+        Effect::Activate { epoch, .. } => Some(*epoch),
+        _ => None,
+    };
+    effects.iter().filter_map(epoch).collect()
+}
+
+/// A member that has staged change 9 (epoch 4 to 5) at 1000.
+fn staged() -> Member {
+    let mut member = member(Start::Wait, None);
+    member.beat(0.0);
+    member.answered(0.0, answer(0.0, agreed(8, 4, None)), 10.0);
+    let effects = member.news(agreed(9, 4, Some((9, 5))), 900.0);
+    assert!(matches!(&effects[..], [Effect::Check(change)] if change.id == ChangeId(9)), "{effects:?}");
+    assert_eq!(member.checked(ChangeId(9), Ok(()), 1000.0), [Effect::BeatNow]);
+    member
+}
+
+#[test]
+fn nothing_is_taken_before_a_leader_has_answered() {
+    let mut member = member(Start::Wait, None);
+    assert!(member.news(agreed(8, 4, None), 5.0).is_empty(), "a watch makes no member");
+    assert_eq!(member.admit(5.0), Err(Held::Unknown));
+    member.beat(6.0);
+    let effects = member.answered(6.0, answer(100.0, agreed(8, 4, None)), 9.0);
+    assert_eq!(activated(&effects), [4]);
+    assert_eq!(member.admit(9.0), Ok(4));
+}
+
+#[test]
+fn a_promise_runs_from_the_check_and_then_holds_all_back() {
+    let mut member = staged();
+    assert_eq!(member.admit(2999.0), Ok(4));
+    assert_eq!(member.admit(3000.0), Err(Held::Doubt));
+    let word = member.beat(1500.0).change;
+    assert_eq!(word, Some(Word::Staged { change: ChangeId(9), left_ms: 1500.0 }));
+}
+
+#[test]
+fn only_an_answer_makes_a_promise_longer_and_from_its_beats_sending() {
+    let mut member = staged();
+    member.beat(1500.0);
+    member.news(agreed(9, 4, Some((9, 5))), 1600.0);
+    assert_eq!(member.admit(3000.0), Err(Held::Doubt), "news make it no longer");
+    member.answered(1500.0, answer(5.0, agreed(9, 4, Some((9, 5)))), 2900.0);
+    assert_eq!(member.admit(3499.0), Ok(4));
+    assert_eq!(member.admit(3500.0), Err(Held::Doubt));
+}
+
+#[test]
+fn news_end_a_doubt_either_way() {
+    let mut committed = staged();
+    let effects = committed.news(agreed(12, 5, None), 4000.0);
+    assert_eq!(activated(&effects), [5]);
+    assert!(!effects.contains(&Effect::Discard(ChangeId(9))));
+    assert_eq!(committed.admit(4000.0), Ok(5));
+    let mut aborted = staged();
+    assert_eq!(aborted.news(agreed(12, 4, None), 4000.0), [Effect::Discard(ChangeId(9))]);
+    assert_eq!(aborted.admit(4000.0), Ok(4));
+}
+
+#[test]
+fn the_next_change_under_way_ends_the_one_before_it() {
+    let mut member = staged();
+    let effects = member.news(agreed(14, 4, Some((13, 6))), 4000.0);
+    assert!(matches!(&effects[..], [Effect::Discard(ChangeId(9)), Effect::Check(next)] if next.epoch == 6));
+    assert_eq!(member.admit(4000.0), Ok(4), "its doubt is over, and it has promised nothing new yet");
+    assert!(member.checked(ChangeId(9), Ok(()), 4100.0).is_empty(), "a check that comes late is of no use");
+}
+
+#[test]
+fn older_news_change_nothing() {
+    let mut member = staged();
+    member.news(agreed(12, 5, None), 1100.0);
+    assert!(member.news(agreed(9, 4, Some((9, 5))), 1200.0).is_empty());
+    member.beat(1250.0);
+    assert_eq!(activated(&member.answered(1200.0, answer(7.0, agreed(11, 4, None)), 1300.0)), [] as [u64; 0]);
+    assert_eq!(member.admit(9000.0), Ok(5));
+}
+
+#[test]
+fn a_lease_runs_from_the_beats_sending_and_for_the_agreed_epoch_only() {
+    let mut member = member(Start::Wait, None);
+    member.beat(100.0);
+    member.answered(100.0, leased(0.0, agreed(8, 4, None)), 900.0);
+    assert_eq!(member.admit(2099.0), Ok(4));
+    assert_eq!(member.admit(2100.0), Err(Held::Lease));
+    member.news(agreed(9, 5, None), 2200.0);
+    member.beat(2300.0);
+    member.answered(2300.0, leased(1.0, agreed(8, 4, None)), 2400.0);
+    assert_eq!(member.admit(2400.0), Err(Held::Lease), "an answer about an older epoch grants nothing");
+    member.beat(2500.0);
+    member.answered(2500.0, Answer { lease_ms: None, ..leased(2.0, agreed(9, 5, None)) }, 2600.0);
+    assert_eq!(member.admit(2600.0), Err(Held::Lease));
+    member.beat(2700.0);
+    member.answered(2700.0, leased(3.0, agreed(9, 5, None)), 2800.0);
+    assert_eq!(member.admit(2800.0), Ok(5));
+}
+
+#[test]
+fn a_node_that_cannot_bear_a_change_says_why_in_one_line() {
+    let mut member = member(Start::Wait, None);
+    member.beat(0.0);
+    member.answered(0.0, answer(0.0, agreed(9, 4, Some((9, 5)))), 10.0);
+    member.checked(ChangeId(9), Err(format!("no class \"gold\"{}\nmore", "é".repeat(200))), 20.0);
+    let Some(Word::Refused { change: ChangeId(9), words }) = member.beat(20.0).change else {
+        panic!("refused")
+    };
+    assert!(words.starts_with("no class \"gold\"") && words.len() <= 256 && !words.contains('\n'));
+    assert_eq!(member.admit(9000.0), Ok(4), "it has promised nothing");
+}
+
+#[test]
+fn the_saved_epoch_serves_only_while_no_leader_answers() {
+    let start = Start::Saved { after_ms: 1000.0 };
+    let saved = Saved { epoch: 6, policy: policy(6), fenced: false };
+    let mut member = member(start, Some(saved.clone()));
+    assert_eq!((member.wakes_at(), member.wake(999.0)), (Some(1000.0), Vec::new()));
+    assert_eq!(member.admit(999.0), Err(Held::Unknown));
+    assert_eq!(activated(&member.wake(1000.0)), [6]);
+    assert_eq!(member.admit(1000.0), Ok(6));
+    assert_eq!(activated(&member.news(agreed(30, 7, None), 1100.0)), [7], "forward by what it hears");
+    member.beat(1200.0);
+    assert_eq!(activated(&member.answered(1200.0, answer(0.0, agreed(40, 8, None)), 1300.0)), [8]);
+
+    let fenced = self::member(start, Some(Saved { fenced: true, ..saved }));
+    assert_eq!(fenced.wakes_at(), None, "a fenced fleet's node waits for its lease");
+}
+
+#[test]
+fn a_group_from_an_old_backup_takes_nobody_back() {
+    let saved = Saved { epoch: 6, policy: policy(6), fenced: false };
+    let mut member = member(Start::Saved { after_ms: 0.0 }, Some(saved));
+    member.wake(0.0);
+    member.beat(1.0);
+    let effects = member.answered(1.0, answer(0.0, agreed(3, 2, None)), 2.0);
+    assert!(matches!(&effects[..], [Effect::Tell(words)] if words.contains("older")), "{effects:?}");
+    assert_eq!(member.admit(2.0), Ok(6));
+    assert_eq!(member.beat(3.0).active, Some(6), "the group hears of it");
+    member.news(agreed(4, 2, Some((4, 3))), 4.0);
+    assert!(matches!(member.beat(5.0).change, Some(Word::Refused { .. })), "no number comes twice");
+    member.news(agreed(9, 7, None), 6.0);
+    assert_eq!(member.admit(6.0), Ok(7));
+}
+
+#[test]
+fn a_group_that_lost_its_log_is_heard_again() {
+    let mut member = member(Start::Wait, None);
+    member.beat(0.0);
+    member.answered(0.0, answer(0.0, agreed(100, 4, None)), 1.0);
+    member.beat(2.0);
+    let effects = member.answered(2.0, answer(1.0, agreed(50, 4, None)), 3.0);
+    assert!(matches!(&effects[..], [Effect::Tell(words)] if words.contains("lost")), "{effects:?}");
+    assert_eq!(activated(&member.news(agreed(51, 5, None), 4.0)), [5]);
+}
+
+#[test]
+fn who_is_superseded_or_leaves_takes_nothing_more() {
+    let mut gone = staged();
+    gone.beat(1100.0);
+    let effects =
+        gone.answered(1100.0, Answer { superseded: true, ..answer(0.0, agreed(9, 4, Some((9, 5)))) }, 1200.0);
+    assert!(matches!(&effects[..], [Effect::Tell(_)]));
+    assert_eq!(gone.admit(1200.0), Err(Held::Superseded));
+    assert!(gone.news(agreed(12, 5, None), 1300.0).is_empty());
+
+    let mut leaving = staged();
+    assert_eq!(leaving.bye(1100.0), [Effect::BeatNow]);
+    assert!(leaving.beat(1100.0).bye);
+    assert_eq!(leaving.admit(1100.0), Err(Held::Leaving));
+}
+
+#[test]
+fn the_newest_stamp_is_echoed() {
+    let mut member = staged();
+    member.beat(1100.0);
+    member.answered(
+        1100.0,
+        Answer { stamp: Stamp { term: 2, at: 5.0 }, ..answer(0.0, agreed(9, 4, None)) },
+        1200.0,
+    );
+    member.answered(1000.0, answer(900.0, agreed(9, 4, None)), 1300.0);
+    assert_eq!(member.beat(1400.0).echo, Some(Stamp { term: 2, at: 5.0 }));
+}
