Have the lab's referee go by the one clock for the list

Lists are pushed in the lab, so what the agent has counts as told at once, watch or no watch, and right after an outage; the referee gave 6 s to all. It also counted versions that a list that had fallen behind told nobody: such a list now goes on from where it is, and only what it tells counts. A line that is held up until the next has overtaken it still counts 6 s later.

--- a/crates/lab/src/referee.rs
+++ b/crates/lab/src/referee.rs
@@ -11,7 +11,8 @@
 use crate::plan::{Effect, Rules};
 use crate::server::Us;
 
-/// What discovery has to tell counts as told this long after the agent has it, read or not.
+/// What an agent has counts as told at once, whether or not a watch is open. What does not come over a watch that
+/// stands counts this long after.
 const TOLD_WITHIN: Us = 6_000_000;
 /// Breaches that are kept with their words; further ones are counted.
 const KEPT: usize = 200;
@@ -175,9 +176,10 @@
         self.told(now, node, known, list);
     }
 
-    /// The node's agent has a version.
-    pub fn has(&mut self, now: Us, node: usize, version: u64) {
-        self.nodes[node].pending.push((now + TOLD_WITHIN, version));
+    /// The node's agent has a version. `held`: its line is held up.
+    pub fn has(&mut self, now: Us, node: usize, version: u64, held: bool) {
+        let after = if held { TOLD_WITHIN } else { 0 };
+        self.nodes[node].pending.push((now + after, version));
     }
 
     /// A version was written to the node.
@@ -211,8 +213,9 @@
     /// An attempt at a try began to reach a server at `first`; its place among the try's attempts.
     pub fn sent(&mut self, now: Us, request: usize, server: usize, first: Us, list: &List) -> usize {
         let node = self.asked[request].node;
-        let due = self.nodes[node].pending.iter().filter(|(at, _)| *at <= now).max_by_key(|(_, v)| *v);
-        if let Some((at, version)) = due.copied() {
+        let mut due: Vec<_> = self.nodes[node].pending.iter().filter(|(at, _)| *at <= now).copied().collect();
+        due.sort_unstable();
+        for (at, version) in due {
             self.told(at, node, version, list);
         }
         let about = About { node: Some(node), server: Some(server), request: Some(request) };
@@ -315,16 +318,18 @@
     }
 
     #[test]
-    fn what_the_agent_has_counts_as_told_6_s_later() {
-        let mut list = list();
-        let mut referee = referee(&list, Effect::Safe);
-        let gone = Entry { health: Health::Leaving, ..list.newest(1).expect("listed").clone() };
-        let version = list.change(1, gone);
-        referee.has(0, 0, version);
-        referee.sent(6_300_000, 0, 1, 6_300_000, &list);
-        assert_eq!(rules(&referee), []);
-        referee.sent(6_400_000, 0, 1, 6_400_000, &list);
-        assert_eq!(rules(&referee), [Rule::Drain]);
+    fn what_the_agent_has_counts_as_told_at_once_and_6_s_later_where_its_line_is_held_up() {
+        for (held, after) in [(false, 0), (true, 6_000_000)] {
+            let mut list = list();
+            let mut referee = referee(&list, Effect::Safe);
+            let gone = Entry { health: Health::Leaving, ..list.newest(1).expect("listed").clone() };
+            let version = list.change(1, gone);
+            referee.has(0, 0, version, held);
+            referee.sent(after + 350_000, 0, 1, after + 350_000, &list);
+            assert_eq!(rules(&referee), []);
+            referee.sent(after + 350_001, 0, 1, after + 350_001, &list);
+            assert_eq!(rules(&referee), [Rule::Drain]);
+        }
     }
 
     #[test]
--- a/crates/lab/src/world/list.rs
+++ b/crates/lab/src/world/list.rs
@@ -38,23 +38,25 @@
 
     /// News reach a node's agent, once the list speaks.
     pub(super) fn tell(&mut self, node: usize, version: u64) {
-        let from = self.nodes[node].version;
-        if self.silent || version <= from {
+        if self.silent || version <= self.nodes[node].version {
             return;
         }
+        // A list that is behind goes on from there.
+        let from = self.version(node);
         self.nodes[node].version = version;
-        self.referee.has(self.now, node, version);
-        if self.behind > 0 {
+        let to = self.version(node);
+        if to == from {
             return;
         }
-        match self.nodes[node].overtaken.take() {
-            Some(before) => {
-                self.out.push_back(Out::Tell { node, from, to: version });
-                self.out.push_back(Out::Tell { node, from: before, to: from });
-            }
-            None if self.reordered => self.nodes[node].overtaken = Some(from),
-            None => self.out.push_back(Out::Tell { node, from, to: version }),
+        let before = self.nodes[node].overtaken.take();
+        let held = self.reordered && before.is_none();
+        self.referee.has(self.now, node, to, held);
+        if held {
+            self.nodes[node].overtaken = Some(from);
+            return;
         }
+        self.out.push_back(Out::Tell { node, from, to });
+        self.out.extend(before.map(|before| Out::Tell { node, from: before, to: from }));
     }
 
     /// The version that a node's agent tells whoever asks.
@@ -68,11 +70,12 @@
         for node in 0..self.nodes.len() {
             let version = self.nodes[node].version;
             let from = version.saturating_sub(before).max(1);
-            self.out.push_back(if versions > 0 {
-                Out::EndWatches(node)
-            } else {
-                Out::Tell { node, from, to: version }
-            });
+            if versions > 0 {
+                self.out.push_back(Out::EndWatches(node));
+            } else if from < version {
+                self.referee.has(self.now, node, version, false);
+                self.out.push_back(Out::Tell { node, from, to: version });
+            }
         }
     }
 
