Have the node's errors say what failed, where, and what to do about it

Errors were strings, and the configuration was read field by field by hand. Configuration is serde structs with serde_path_to_error, so every field's path is named; values of the environment are put over the file's before that one reading, so they still go first, and a fault in one is named by its variable. Unknown fields are left alone. ConfigError, ListenError, BanError and StartError are thiserror types with advice(); one line: glenwood: FIELD: what; advice. A test goes through all variants of each type by a match without a wildcard (seen to fail with an advice emptied).

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 
 mod net;
 
+use std::io;
 use std::net::TcpListener as StdListener;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -11,13 +12,17 @@
 
 use net::admin::Admin;
 use net::clients::Clients;
-use net::config::{self, Config};
+use net::config::{self, Config, ConfigError};
+use net::fault::Advice;
 use net::hands::Tasks;
+use net::listen::{self, ListenError};
+use net::log;
 use net::node::Node;
-use net::{listen, log};
+use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
+use tulipmount::SettingsError;
 
 /// How long connections still come after SIGTERM, where no other process takes them.
 const ACCEPT: Duration = Duration::from_millis(500);
@@ -32,11 +37,44 @@
 /// How often bans are looked at: well within the grace of a drain.
 const BANS: Duration = Duration::from_millis(50);
 
+/// Why a node does not start.
+#[derive(Debug, Error)]
+enum StartError {
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+    #[error("runtime: {0}")]
+    Runtime(io::Error),
+    #[error("signal: {0}")]
+    Signal(io::Error),
+}
+
+impl Advice for StartError {
+    fn advice(&self) -> String {
+        match self {
+            Self::Config(error) => error.advice(),
+            Self::Listen(error) => error.advice(),
+            Self::Settings(_) => "mend it under \"settings\" in the configuration file".into(),
+            Self::Runtime(_) | Self::Signal(_) => "allow the process more descriptors".into(),
+        }
+    }
+}
+
 fn main() -> ExitCode {
-    let config = match config::load() {
-        Ok(config) => config,
-        Err(words) => return fail(&words),
-    };
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("glenwood: {}", error.line());
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), StartError> {
+    let config = config::load()?;
     // A task that panics leaves what it held unanswered, and perhaps the module half changed. A node that
     // ends is started again; one that is half dead is not.
     std::panic::set_hook(Box::new(|fault| {
@@ -46,38 +84,24 @@
         std::process::exit(101);
     }));
     // Before anything else opens a descriptor.
-    let adopted = config.inherited.map(listen::adopt).transpose();
-    let listener = match adopted.and_then(|l| l.map_or_else(|| listen::bind("listen", config.listen), Ok)) {
-        Ok(listener) => listener,
-        Err(words) => return fail(&words),
+    let listener = match config.inherited {
+        Some(fd) => listen::adopt(fd)?,
+        None => listen::bind("listen", config.listen)?,
     };
     log::start();
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => return fail(&format!("runtime: {error}")),
-    };
-    match LocalSet::new().block_on(&runtime, serve(config, listener)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(words) => fail(&words),
-    }
-}
-
-fn fail(words: &str) -> ExitCode {
-    eprintln!("glenwood: {}", words.replace('\n', " "));
-    ExitCode::FAILURE
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.map_err(StartError::Runtime)?, serve(config, listener))
 }
 
-async fn serve(config: Config, listener: StdListener) -> Result<(), String> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signal: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signal: {e}"))?;
-    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signal: {e}"))?;
-    let listener = TcpListener::from_std(listener).map_err(|e| format!("listen: {e}"))?;
+async fn serve(config: Config, listener: StdListener) -> Result<(), StartError> {
+    let caught = |kind| signal(kind).map_err(StartError::Signal);
+    let (mut terminate, mut interrupt) = (caught(SignalKind::terminate())?, caught(SignalKind::interrupt())?);
+    let hangup = caught(SignalKind::hangup())?;
+    let (listener, address) = listen::take("listen", listener)?;
     let admin = config.admin.map(|at| listen::bind("admin_addr", at)).transpose()?;
-    let node = Node::new(config, Box::new(Tasks)).map_err(|e| format!("settings: {e}"))?;
-    let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-    if let Some(listener) = admin {
-        let listener = TcpListener::from_std(listener).map_err(|e| format!("admin_addr: {e}"))?;
-        let address = listener.local_addr().map_err(|e| format!("admin_addr: {e}"))?;
+    let admin = admin.map(|listener| listen::take("admin_addr", listener)).transpose()?;
+    let node = Node::new(config, Box::new(Tasks))?;
+    if let Some((listener, address)) = admin {
         log::line(format!("{} takes operators' calls at {address}", node.config.name));
         spawn_local(Admin::new(node.clone()).accept(listener));
         spawn_local(follow_bans(node.clone()));
@@ -109,7 +133,7 @@
     while hangup.recv().await.is_some() {
         match config::moved() {
             Ok(to) => node.move_discovery(to),
-            Err(words) => log::line(format!("SIGHUP: nothing changed: {words}")),
+            Err(error) => log::line(format!("SIGHUP: nothing changed: {}", error.line())),
         }
     }
 }
@@ -166,3 +190,24 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use net::fault::tests::each_has_its_advice;
+
+    use super::*;
+
+    #[test]
+    fn each_error_has_its_advice() {
+        use StartError::*;
+        let error = || io::Error::from(io::ErrorKind::Other);
+        each_has_its_advice(|before| match before {
+            None => Some(Config(ConfigError::NoFile)),
+            Some(Config(_)) => Some(Listen(ListenError::Runtime { field: "listen", error: error() })),
+            Some(Listen(_)) => Some(Settings(SettingsError("tick: negative".into()))),
+            Some(Settings(_)) => Some(Runtime(error())),
+            Some(Runtime(_)) => Some(Signal(error())),
+            Some(Signal(_)) => None,
+        });
+    }
+}
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -18,6 +18,7 @@
 
 use super::bodies::Outgoing;
 use super::clients::plain;
+use super::fault::Advice;
 use super::log;
 use super::node::Node;
 use super::sock::{Io, Sock};
@@ -127,7 +128,7 @@
                 Ok(true) => StatusCode::OK,
                 Ok(false) => StatusCode::NOT_FOUND,
                 Err(error) => {
-                    log::line(format!("{name} stays out of use: {error}"));
+                    log::line(error.line());
                     StatusCode::INTERNAL_SERVER_ERROR
                 }
             })
--- a/src/net/bans.rs
+++ b/src/net/bans.rs
@@ -10,6 +10,9 @@
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime};
 
+use thiserror::Error;
+
+use super::fault::Advice;
 use super::log;
 
 /// What a server's file begins with while it is out, and once it is back.
@@ -25,6 +28,54 @@
     Back(SystemTime),
 }
 
+/// What the folder can't do.
+#[derive(Debug, Error)]
+pub enum BanError {
+    /// A ban can't be written.
+    #[error("the ban of {name} holds in this process alone: {error}")]
+    Unkept {
+        /// The server.
+        name: String,
+        /// What the system says.
+        error: io::Error,
+    },
+    /// That a server is back can't be written.
+    #[error("that {name} came back is known to this process alone: {error}")]
+    ReturnUnkept {
+        /// The server.
+        name: String,
+        /// What the system says.
+        error: io::Error,
+    },
+    /// A ban can't be lifted.
+    #[error("{name} stays out of use: {error}")]
+    Unlifted {
+        /// The server.
+        name: String,
+        /// What the system says.
+        error: io::Error,
+    },
+    /// The folder can't be read.
+    #[error("bans can't be read, those known hold: {error}")]
+    Unread {
+        /// What the system says.
+        error: io::Error,
+    },
+}
+
+impl Advice for BanError {
+    fn advice(&self) -> String {
+        match self {
+            Self::Unkept { .. } => "ban it again after an upgrade, or make room under TMPDIR".into(),
+            Self::ReturnUnkept { .. } => "give it back at the other process as well".into(),
+            Self::Unlifted { .. } => {
+                "remove its file from the node's folder under TMPDIR, or call again".into()
+            }
+            Self::Unread { .. } => "let the node's user read its folder under TMPDIR".into(),
+        }
+    }
+}
+
 /// The servers that operators have taken out, by name.
 pub struct Bans {
     /// `None` where bans are not kept.
@@ -58,7 +109,7 @@
         match self.make(OUT, name).and_then(|()| self.remove(BACK, name)) {
             Ok(()) => self.unkept.remove(name),
             Err(error) => {
-                log::line(format!("the ban of {name} holds in this process alone: {error}"));
+                log::line(BanError::Unkept { name: name.to_string(), error }.line());
                 self.unkept.insert(name.to_string())
             }
         };
@@ -68,16 +119,16 @@
     ///
     /// # Errors
     /// Where its file can't be removed, and takes it out again.
-    pub fn give_back(&mut self, name: &str) -> io::Result<bool> {
+    pub fn give_back(&mut self, name: &str) -> Result<bool, BanError> {
         if !self.out.contains(name) {
             return Ok(false);
         }
         if !self.unkept.remove(name) {
             if let Err(error) = self.make(BACK, name) {
-                log::line(format!("that {name} came back is known to this process alone: {error}"));
+                log::line(BanError::ReturnUnkept { name: name.to_string(), error }.line());
             }
-            self.remove(OUT, name)?;
-            self.back = self.files()?.1;
+            let lifted = self.remove(OUT, name).and_then(|()| self.files());
+            self.back = lifted.map_err(|error| BanError::Unlifted { name: name.to_string(), error })?.1;
         }
         self.out.remove(name);
         Ok(true)
@@ -88,7 +139,7 @@
         let (out, back) = match self.files() {
             Ok(files) => files,
             Err(error) => {
-                log::trouble(|| format!("bans can't be read, those known hold: {error}"));
+                log::trouble(|| BanError::Unread { error }.line());
                 return Vec::new();
             }
         };
@@ -175,8 +226,22 @@
 mod tests {
     use std::path::Path;
 
+    use super::super::fault::tests::each_has_its_advice;
     use super::*;
 
+    #[test]
+    fn each_error_has_its_advice() {
+        use BanError::*;
+        let (name, error) = (|| "s1".to_string(), || io::Error::other("TMPDIR is not set"));
+        each_has_its_advice(|before| match before {
+            None => Some(Unkept { name: name(), error: error() }),
+            Some(Unkept { .. }) => Some(ReturnUnkept { name: name(), error: error() }),
+            Some(ReturnUnkept { .. }) => Some(Unlifted { name: name(), error: error() }),
+            Some(Unlifted { .. }) => Some(Unread { error: error() }),
+            Some(Unread { .. }) => None,
+        });
+    }
+
     const COLD: Duration = Duration::from_secs(60);
 
     fn folder(test: &str) -> PathBuf {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,13 +1,21 @@
 //! What the node is told at its start: environment and configuration file.
+//!
+//! Values of the environment are put over the file's fields before anything is read, so there is one reading of both.
+//! Fields that are not known here are left alone: the platform adds some.
 
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
 
-use endpoints::{Unreadable, Update};
-use serde::Deserialize;
-use serde_json::Value;
+use endpoints::Update;
+use serde::de::{DeserializeOwned, Error as _};
+use serde::{Deserialize, Deserializer};
+use serde_json::{Map, Value};
+use thiserror::Error;
 use tulipmount::wire::{told, Told};
 
+use super::fault::Advice;
+
 /// The node's configuration.
 pub struct Config {
     /// The node's name.
@@ -38,91 +46,255 @@
 const SOCKETS: u64 = 1024;
 /// The fewest that a node can do anything with.
 const SOCKETS_LEAST: u64 = 32;
+/// The most that are of use.
+const SOCKETS_MOST: u64 = 1 << 20;
+
+/// The variable that names the file.
+const FILE: &str = "BALANCER_CONFIG";
+/// The variable that names the clients' listening socket.
+pub const INHERITED: &str = "BALANCER_INHERITED_FD";
+/// The fields that the environment may name as well, and how it does.
+const VARIABLES: [(&str, &str); 4] = [
+    ("name", "BALANCER_NAME"),
+    ("listen", "BALANCER_LISTEN"),
+    ("discovery", "BALANCER_DISCOVERY"),
+    ("admin_addr", "BALANCER_ADMIN_ADDR"),
+];
+
+/// Why a configuration can't be used.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// Nothing names the file.
+    #[error("{FILE}: not set")]
+    NoFile,
+    /// The file can't be read.
+    #[error("{FILE}: {path}: {error}")]
+    Unread {
+        /// Where it should be.
+        path: String,
+        /// What the system says.
+        error: io::Error,
+    },
+    /// It is no JSON object.
+    #[error("{FILE}: not JSON: {0}")]
+    NotJson(serde_json::Error),
+    /// A field, or a variable in its place, can't be read.
+    #[error("{field}: {words}")]
+    Field {
+        /// Its path.
+        field: String,
+        /// What is expected.
+        words: String,
+    },
+    /// A field is not there.
+    #[error("{field}: missing")]
+    Missing {
+        /// Its path.
+        field: &'static str,
+    },
+    /// The settings make no sense.
+    #[error("settings: {0}")]
+    Settings(String),
+}
+
+impl Advice for ConfigError {
+    fn advice(&self) -> String {
+        match self {
+            Self::NoFile => "set it to the path of the configuration file".into(),
+            Self::Unread { .. } => {
+                "put the file there, readable for the node's user, or set another path".into()
+            }
+            Self::NotJson(_) => "write the file anew, as one JSON object".into(),
+            Self::Field { field, .. } => match VARIABLES.iter().find(|(_, v)| v == field) {
+                Some((name, _)) => format!("mend the variable, or unset it to have the file's {name:?}"),
+                None if field == INHERITED => {
+                    "pass on the listening socket that is open at that number".into()
+                }
+                None => "mend it in the configuration file".into(),
+            },
+            Self::Missing { field } => match VARIABLES.iter().find(|(name, _)| name == field) {
+                Some((_, variable)) => format!("add it to the configuration file, or set {variable}"),
+                None => "add it to the configuration file".into(),
+            },
+            Self::Settings(_) => "mend it under \"settings\" in the configuration file".into(),
+        }
+    }
+}
+
+/// The fields of the file.
+#[derive(Debug, Deserialize)]
+struct Fields {
+    name: Option<String>,
+    #[serde(default, deserialize_with = "address")]
+    listen: Option<SocketAddr>,
+    #[serde(default, deserialize_with = "address")]
+    discovery: Option<SocketAddr>,
+    #[serde(default, deserialize_with = "address")]
+    admin_addr: Option<SocketAddr>,
+    #[serde(default, deserialize_with = "hex")]
+    seed: Option<u64>,
+    limits: Option<Limits>,
+    known: Option<Update>,
+    #[serde(default)]
+    settings: Value,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Limits {
+    memory_mb: Option<f64>,
+    sockets: Option<u64>,
+}
+
+/// What SIGHUP reads of the file.
+#[derive(Deserialize)]
+struct Moved {
+    #[serde(default, deserialize_with = "address")]
+    discovery: Option<SocketAddr>,
+}
+
+/// Text that has to be read further; `null` is none.
+fn text<'de, D: Deserializer<'de>, T>(
+    from: D,
+    expected: &str,
+    read: impl Fn(&str) -> Option<T>,
+) -> Result<Option<T>, D::Error> {
+    let Some(words) = Option::<String>::deserialize(from)? else { return Ok(None) };
+    let read = read(&words);
+    read.map(Some).ok_or_else(|| D::Error::custom(format!("{expected} expected, not {words:?}")))
+}
+
+fn address<'de, D: Deserializer<'de>>(from: D) -> Result<Option<SocketAddr>, D::Error> {
+    text(from, "IP address and port", |words| words.parse().ok())
+}
+
+fn hex<'de, D: Deserializer<'de>>(from: D) -> Result<Option<u64>, D::Error> {
+    text(from, "hex digits", |words| u64::from_str_radix(words, 16).ok())
+}
 
 /// Reads the configuration of this process.
 ///
 /// # Errors
-/// One line that names the field.
-pub fn load() -> Result<Config, String> {
-    parse(&file()?, |name| std::env::var(name).ok())
+/// Names the field.
+pub fn load() -> Result<Config, ConfigError> {
+    parse(file()?, |name| std::env::var(name).ok())
 }
 
 /// Where the file says now that discovery is; the environment still tells what held at the start.
 ///
 /// # Errors
-/// One line that names what is wrong.
-pub fn moved() -> Result<SocketAddr, String> {
-    let value = file()?;
-    let words = value.get("discovery").and_then(Value::as_str).ok_or("discovery: text expected")?;
-    address("discovery", words)
-}
-
-fn file() -> Result<Value, String> {
-    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG: not set".to_string())?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
-    serde_json::from_str(&text).map_err(|e| format!("BALANCER_CONFIG: not JSON: {e}"))
-}
-
-fn address(from: &str, words: &str) -> Result<SocketAddr, String> {
-    words.parse().map_err(|_| format!("{from}: IP address and port expected, not {words:?}"))
-}
-
-/// Reads a configuration; what the environment names goes before what the file says.
-fn parse(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let text = |name: &str| {
-        let upper = format!("BALANCER_{}", name.to_uppercase());
-        let file = || value.get(name).and_then(Value::as_str).map(|v| (name.to_string(), v.to_string()));
-        env(&upper).map(|v| (upper, v)).or_else(file).ok_or_else(|| format!("{name}: text expected"))
-    };
-    let address = |name: &str| text(name).and_then(|(from, words)| address(&from, &words));
-    let has_admin =
-        env("BALANCER_ADMIN_ADDR").is_some() || value.get("admin_addr").is_some_and(|v| !v.is_null());
-    let seed = value.get("seed").and_then(Value::as_str).ok_or("seed: text expected")?;
-    let known = match value.get("known") {
-        None | Some(Value::Null) => None,
-        Some(known) => {
-            let read = Update::deserialize(known).map_err(Unreadable::from).and_then(Update::checked);
-            Some(read.map_err(|e| format!("known: {e}"))?)
+/// Names what is wrong.
+pub fn moved() -> Result<SocketAddr, ConfigError> {
+    let moved: Moved = read(file()?, |_| None)?;
+    moved.discovery.ok_or(ConfigError::Missing { field: "discovery" })
+}
+
+fn file() -> Result<Map<String, Value>, ConfigError> {
+    let path = std::env::var(FILE).map_err(|_| ConfigError::NoFile)?;
+    let text = std::fs::read_to_string(&path).map_err(|error| ConfigError::Unread { path, error })?;
+    serde_json::from_str(&text).map_err(ConfigError::NotJson)
+}
+
+/// Reads fields; what the environment names goes before what the file says.
+fn read<T: DeserializeOwned>(
+    mut file: Map<String, Value>,
+    env: impl Fn(&str) -> Option<String>,
+) -> Result<T, ConfigError> {
+    let mut from = Vec::new();
+    for (name, variable) in VARIABLES {
+        if let Some(words) = env(variable) {
+            file.insert(name.to_string(), Value::String(words));
+            from.push((name, variable));
         }
-    };
-    let told = told(value.get("settings").unwrap_or(&Value::Null)).map_err(|e| format!("settings: {e}"))?;
+    }
+    serde_path_to_error::deserialize(Value::Object(file)).map_err(|error| {
+        let path = error.path().to_string();
+        let variable =
+            from.iter().find(|(name, _)| *name == path).map(|(_, variable)| (*variable).to_string());
+        ConfigError::Field { field: variable.unwrap_or(path), words: error.inner().to_string() }
+    })
+}
+
+fn parse(file: Map<String, Value>, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let fields: Fields = read(file, &env)?;
+    let missing = |field| ConfigError::Missing { field };
+    let limits = fields.limits.unwrap_or_default();
+    let known = fields.known.map(Update::checked).transpose();
     Ok(Config {
-        name: text("name")?.1,
-        listen: address("listen")?,
-        inherited: env("BALANCER_INHERITED_FD").map(|v| descriptor(&v)).transpose()?,
-        admin: has_admin.then(|| address("admin_addr")).transpose()?,
-        discovery: address("discovery")?,
-        seed: u64::from_str_radix(seed, 16)
-            .map_err(|_| format!("seed: hex digits expected, not {seed:?}"))?,
-        sockets: sockets(value)?,
-        memory: memory(value)?,
-        known,
-        told,
+        name: fields.name.ok_or(missing("name"))?,
+        listen: fields.listen.ok_or(missing("listen"))?,
+        inherited: env(INHERITED).map(|v| descriptor(&v)).transpose()?,
+        admin: fields.admin_addr,
+        discovery: fields.discovery.ok_or(missing("discovery"))?,
+        seed: fields.seed.ok_or(missing("seed"))?,
+        sockets: sockets(limits.sockets.unwrap_or(SOCKETS))?,
+        memory: memory(limits.memory_mb.unwrap_or(MEMORY_MB))?,
+        known: known.map_err(|e| fault("known", e.to_string()))?,
+        told: told(&fields.settings).map_err(|e| ConfigError::Settings(e.to_string()))?,
     })
 }
 
-fn descriptor(words: &str) -> Result<RawFd, String> {
+fn fault(field: &str, words: String) -> ConfigError {
+    ConfigError::Field { field: field.to_string(), words }
+}
+
+fn descriptor(words: &str) -> Result<RawFd, ConfigError> {
     // The first three are standard input, output and error.
     let fd = words.parse().ok().filter(|fd| *fd > 2);
-    fd.ok_or_else(|| format!("BALANCER_INHERITED_FD: a descriptor's number above 2 expected, not {words:?}"))
+    fd.ok_or_else(|| fault(INHERITED, format!("a descriptor's number above 2 expected, not {words:?}")))
 }
 
-fn memory(value: &Value) -> Result<usize, String> {
-    let mb = match value.get("limits").and_then(|l| l.get("memory_mb")) {
-        None => MEMORY_MB,
-        Some(v) => v.as_f64().filter(|mb| *mb >= 1.0).ok_or("limits.memory_mb: 1 or more expected")?,
-    };
+fn memory(mb: f64) -> Result<usize, ConfigError> {
+    if mb < 1.0 {
+        return Err(fault("limits.memory_mb", format!("1 or more expected, not {mb}")));
+    }
     Ok((mb * 1024.0 * 1024.0) as usize)
 }
 
-fn sockets(value: &Value) -> Result<usize, String> {
-    let told = value.get("limits").and_then(|l| l.get("sockets"));
-    let count = match told {
-        None => SOCKETS,
-        Some(v) => v.as_u64().ok_or("limits.sockets: whole number expected")?,
-    };
+fn sockets(count: u64) -> Result<usize, ConfigError> {
     if count < SOCKETS_LEAST {
-        return Err(format!("limits.sockets: {SOCKETS_LEAST} are needed at least, not {count}"));
+        return Err(fault("limits.sockets", format!("{SOCKETS_LEAST} are needed at least, not {count}")));
+    }
+    Ok(count.min(SOCKETS_MOST) as usize)
+}
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::super::fault::tests::each_has_its_advice;
+    use super::*;
+
+    #[test]
+    fn each_error_has_its_advice() {
+        use ConfigError::*;
+        each_has_its_advice(|before| match before {
+            None => Some(NoFile),
+            Some(NoFile) => Some(Unread { path: "/x".into(), error: io::ErrorKind::NotFound.into() }),
+            Some(Unread { .. }) => Some(NotJson(serde_json::Error::custom("no\nobject"))),
+            Some(NotJson(_)) => Some(fault("listen", "what".into())),
+            Some(Field { field, .. }) if field == "listen" => Some(fault("BALANCER_LISTEN", "what".into())),
+            Some(Field { field, .. }) if field == "BALANCER_LISTEN" => Some(fault(INHERITED, "what".into())),
+            Some(Field { .. }) => Some(Missing { field: "seed" }),
+            Some(Missing { field: "seed" }) => Some(Missing { field: "name" }),
+            Some(Missing { .. }) => Some(Settings("Limits: missing".into())),
+            Some(Settings(_)) => None,
+        });
+    }
+
+    /// The environment goes before the file, also before what can't be read there, and is named where it is at fault.
+    #[test]
+    fn the_environment_goes_before_the_file() {
+        let file = json!({"name": "n0", "listen": 7, "discovery": "nowhere", "more": {}});
+        let file = file.as_object().expect("an object");
+        let read = |set: &[(&str, &str)]| {
+            let env = |name: &str| set.iter().find(|(n, _)| *n == name).map(|(_, v)| (*v).to_string());
+            read::<Fields>(file.clone(), env).map_err(|e| e.to_string())
+        };
+        let (listen, found) = (("BALANCER_LISTEN", "127.0.0.1:1"), ("BALANCER_DISCOVERY", "127.0.0.1:2"));
+        let fields = read(&[listen, found]).expect("all can be read");
+        assert_eq!((fields.name.as_deref(), fields.listen.map(|a| a.port())), (Some("n0"), Some(1)));
+        assert!(read(&[found]).expect_err("the file's").starts_with("listen: "));
+        let words = read(&[listen, ("BALANCER_DISCOVERY", "")]).expect_err("the variable's");
+        assert_eq!(words, "BALANCER_DISCOVERY: IP address and port expected, not \"\"");
     }
-    Ok(count.min(1 << 20) as usize)
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,7 @@
 //! The node round the decision module: sockets in, sockets out, no decisions.
 //!
 //! A file uses only files that come before it in this order:
-//! - `log`, `metrics`, `bans`, `listen`, `config`: each alone with its subject,
+//! - `fault`, `log`, `metrics`, `bans`, `config`, `listen`: each alone with its subject,
 //! - `bodies`, `sock`, `request`: what passes through, and on what,
 //! - `pool`: connections to servers,
 //! - `node`: the owner of the module; what it decides it hands to its [`node::Hands`],
@@ -15,6 +15,7 @@
 pub mod clients;
 pub mod config;
 pub mod discovery;
+pub mod fault;
 pub mod hands;
 pub mod listen;
 pub mod log;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -17,7 +16,7 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::bans::{Bans, Change};
+use super::bans::{BanError, Bans, Change};
 use super::bodies::Budget;
 use super::config::Config;
 use super::log;
@@ -623,7 +622,7 @@
     ///
     /// # Errors
     /// Where its ban can't be lifted.
-    pub fn enable(self: &Rc<Self>, name: &str) -> io::Result<bool> {
+    pub fn enable(self: &Rc<Self>, name: &str) -> Result<bool, BanError> {
         self.look_at_bans();
         let server = ServerId(number_of(name));
         let (listed, was_out) = {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -718,6 +718,7 @@
         spoil(&mut config);
         let (code, words) = run(&config, &[]);
         assert!(code.is_some_and(|c| c != 0), "{field}: {code:?}");
-        assert!(words.contains(field) && words.trim().lines().count() == 1, "{field}: {words}");
+        assert!(words.contains(field) && words.contains("; "), "{field}: {words}");
+        assert_eq!(words.trim().lines().count(), 1, "{words}");
     }
 }
