--- a/src/api.rs
+++ b/src/api.rs
@@ -6,7 +6,7 @@
 pub type Millis = f64;
 
 /// A server, as the list names it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
 
 /// A client request; never used twice in the life of a node.
@@ -225,18 +225,19 @@
 }
 
 /// What the list says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Listed {
     /// In service.
     Up,
     /// Finishing its work; nothing new may be sent.
     Draining,
     /// Gone.
+    #[default]
     Gone,
 }
 
 /// One entry of the list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Entry {
     /// The server.
     pub server: ServerId,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -92,20 +92,14 @@
     cursor: f64,
     /// The server that it fell to.
     cursor_at: Option<ServerId>,
-    /// How many times more nodes share a server than are wanted, where a subset can be no smaller.
-    crowd: f64,
     /// Since when some have been held without a break.
     held_since: Option<Millis>,
     /// When one was last refused that no server had room for.
     shed: Millis,
     classes: Vec<ClassStats>,
+    tenants: Vec<TenantStats>,
     /// Factor to all limits where it is below 1: how far the fleet as a whole has slowed down.
     fleet: f64,
-    /// How well each class, and each tenant within its share, is served.
-    class_served: Vec<Served>,
-    tenant_served: Vec<Served>,
-    /// Own part of each tenant's share, in requests that may still come within it.
-    quotas: Vec<(f64, Millis)>,
     /// Requests answered a second, for one unit of weight.
     pace: Rate,
     /// Requests that came a second, for one unit of weight; stands in until one has been answered.
@@ -113,6 +107,8 @@
     /// For each kind of machine, the usual time of each class on a server that has nothing else of ours.
     times: BTreeMap<u64, Vec<Millis>>,
     retry_budget: f64,
+    /// What is to be done by the event in hand.
+    actions: Vec<Action>,
     /// When the timer comes that was asked for last.
     timer_due: Millis,
     /// When what time brings was last looked at.
@@ -121,6 +117,7 @@
 }
 
 /// A server of the list, and what this node has seen of it.
+#[derive(Default)]
 struct Server {
     entry: Entry,
     /// Its size as far as the list tells.
@@ -158,9 +155,10 @@
 }
 
 /// Where the body of a request is.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Default, PartialEq)]
 enum Body {
     /// At the node, for as many attempts as it takes.
+    #[default]
     Kept,
     /// On its way through; its server has no work of it yet.
     Coming,
@@ -168,6 +166,7 @@
     Passed,
 }
 
+#[derive(Default)]
 struct Request {
     body: Body,
     work: Option<Millis>,
@@ -183,11 +182,10 @@
     streaming: bool,
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Attempt {
-    server: ServerId,
-    zone: u64,
-    cell: u64,
+    /// Its server, as it was listed then.
+    to: Entry,
     sent: Millis,
     /// The server was at half its limit at least with it, or had rested for less than twice its time.
     at_limit: bool,
@@ -197,7 +195,8 @@
     outcome: Option<Outcome>,
 }
 
-/// What is usual for a class.
+/// What is usual for a class, and how well it is served.
+#[derive(Default)]
 struct ClassStats {
     /// Mean time to an answer.
     mean: Millis,
@@ -208,16 +207,29 @@
     excess: f64,
     /// The most time that a request had left when it came.
     most_left: Millis,
+    care: Care,
+}
+
+/// A tenant's use of its share, and how well it is served within it.
+#[derive(Default)]
+struct TenantStats {
+    /// Own part of the share, in requests that may still come within it.
+    left: f64,
+    /// When that was counted.
+    counted: Millis,
+    care: Care,
 }
 
 /// A rate that forgets.
+#[derive(Default)]
 struct Rate {
     per_s: f64,
     at: Millis,
 }
 
 /// Worth asked for and served.
-struct Served {
+#[derive(Default)]
+struct Care {
     asked: Rate,
     served: Rate,
 }
@@ -233,14 +245,15 @@
     AskAt(Millis, u32),
 }
 
+/// From 0 to 1.
+fn chance(random: &mut SplitMix64) -> f64 {
+    (random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// The step of SplitMix64's walk.
 const GOLDEN: u64 = 0x9E37_79B9_7F4A_7C15;
 
 impl Rate {
-    fn new() -> Self {
-        Self { per_s: 0.0, at: 0.0 }
-    }
-
     fn add(&mut self, now: Millis, span: Millis, amount: f64) {
         self.per_s = self.at(now, span) + amount * 1000.0 / span.max(1.0);
         self.at = now;
@@ -252,6 +265,11 @@
 }
 
 impl Server {
+    fn new(entry: Entry) -> Self {
+        let (turn, limit, last_sent) = (f64::NAN, f64::NAN, f64::NEG_INFINITY);
+        Self { entry, share: 1.0, turn, turn_warmth: 1.0, limit, last_sent, ..Self::default() }
+    }
+
     fn listed_up(&self) -> bool {
         self.entry.state == Listed::Up
     }
@@ -284,9 +302,8 @@
     fn may_repeat(&self, class: &Class, limits: &Limits, now: Millis, to: Option<&Entry>) -> bool {
         let mut ran = self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran));
         if to.is_some() {
-            let pending = self.attempts.iter().any(|a| a.outcome.is_none());
             let most = if self.body == Body::Kept { limits.attempts } else { 1 };
-            if self.attempts.len() >= most || (pending && !limits.second_copies) {
+            if self.attempts.len() >= most || (self.pending() && !limits.second_copies) {
                 return false;
             }
         }
@@ -298,8 +315,8 @@
                 Some(entry) => {
                     let known = match group {
                         Group::All => true,
-                        Group::Zone => a.zone == entry.zone,
-                        Group::Cell => a.cell == entry.cell,
+                        Group::Zone => a.to.zone == entry.zone,
+                        Group::Cell => a.to.cell == entry.cell,
                     };
                     known && now - a.sent < memory
                 }
@@ -310,6 +327,13 @@
     fn pending(&self) -> bool {
         self.attempts.iter().any(|a| a.outcome.is_none())
     }
+
+    /// Calls off all attempts that are out, where that is permitted.
+    fn cancelled<'a>(&'a self, id: RequestId, limits: &Limits) -> impl Iterator<Item = Action> + 'a {
+        let cancel = limits.cancel;
+        let out = self.attempts.iter().enumerate().filter(move |(_, a)| cancel && a.outcome.is_none());
+        out.map(move |(attempt, _)| Action::Cancel { id, attempt })
+    }
 }
 
 impl Balancer {
@@ -323,21 +347,11 @@
             Discovery::Pushed => Call::Settled,
             Discovery::Asked => Call::AskAt(f64::NEG_INFINITY, 0),
         };
-        let classes = settings
-            .classes
-            .iter()
-            .map(|c| ClassStats {
-                mean: c.aim / 4.0,
-                work: 0.0,
-                seen: 0,
-                excess: 0.0,
-                most_left: f64::NEG_INFINITY,
-            })
-            .collect();
-        let care = || Served { asked: Rate::new(), served: Rate::new() };
-        let class_served = settings.classes.iter().map(|_| care()).collect();
-        let tenant_served = settings.tenants.iter().map(|_| care()).collect();
-        let quotas = settings.tenants.iter().map(|_| (0.0, f64::NEG_INFINITY)).collect();
+        let most_left = f64::NEG_INFINITY;
+        let class = |c: &Class| ClassStats { mean: c.aim / 4.0, most_left, ..ClassStats::default() };
+        let tenant = |_| TenantStats { counted: f64::NEG_INFINITY, ..TenantStats::default() };
+        let classes = settings.classes.iter().map(class).collect();
+        let tenants = settings.tenants.iter().map(tenant).collect();
         Ok(Self {
             set: settings,
             random: SplitMix64::seed_from_u64(seed),
@@ -352,18 +366,16 @@
             waiting: Vec::new(),
             cursor: 0.0,
             cursor_at: None,
-            crowd: 1.0,
             held_since: None,
             shed: f64::NEG_INFINITY,
             classes,
+            tenants,
             fleet: 1.0,
-            class_served,
-            tenant_served,
-            quotas,
-            pace: Rate::new(),
-            arrivals: Rate::new(),
+            pace: Rate::default(),
+            arrivals: Rate::default(),
             times: BTreeMap::new(),
             retry_budget: RETRY_BUDGET_MAX,
+            actions: Vec::new(),
             timer_due: f64::INFINITY,
             swept: f64::NEG_INFINITY,
             call,
@@ -384,43 +396,37 @@
             Event::Enable { server, returned } => self.on_enabled(server, returned),
             Event::Request { id, class, tenant, deadline, coming, again, work } => {
                 let body = if coming { Body::Coming } else { Body::Kept };
-                let (asked, came, attempts) = (now, now, Vec::new());
-                let (in_share, streaming) = (true, false);
-                let request = Request {
-                    body,
-                    work,
-                    class,
-                    tenant,
-                    in_share,
-                    asked,
-                    came,
-                    deadline,
-                    attempts,
-                    streaming,
-                };
-                self.on_request(id, request, again, actions);
+                let (asked, came) = (now, now);
+                let known =
+                    Request { body, work, class, tenant, asked, came, deadline, ..Request::default() };
+                self.on_request(id, known, again);
             }
             Event::Whole { id, deadline } => self.on_whole(id, deadline),
-            Event::Streaming { id, attempt } => self.on_streaming(id, attempt, actions),
+            Event::Streaming { id, attempt } => self.on_streaming(id, attempt),
             Event::Ended { id, attempt, server, outcome, took, finished } => {
-                self.on_ended(id, attempt, server, outcome, took, finished, actions);
+                let took = if took.is_finite() { took.max(0.0) } else { 0.0 };
+                self.on_returned(id, attempt, server, outcome, took);
+                self.on_ended(id, attempt, outcome, took, finished);
             }
             Event::Probed { server, outcome, .. } => self.on_probed(server, outcome),
-            Event::ClientGone(id) => self.forget(id, actions),
+            Event::ClientGone(id) => {
+                self.forget(id);
+            }
             Event::Timer => {}
         }
         if now >= self.timer_due {
             self.timer_due = f64::INFINITY;
         }
         if now >= self.next_due() {
-            self.sweep(actions);
+            self.sweep();
         }
         // Timers cost CPU, of which a node has little: none is set but for what is to be done then.
         let due = self.next_due().max(now + self.set.tick.max(1.0));
         if due < self.timer_due {
             self.timer_due = due;
-            actions.push(Action::SetTimer(due - now));
+            self.actions.push(Action::SetTimer(due - now));
         }
+        actions.append(&mut self.actions);
     }
 
     /// Who is ready, and how slow the fleet is.
@@ -477,10 +483,6 @@
         (aim / 20.0).max(self.set.tick).max(1.0)
     }
 
-    fn random(&mut self) -> f64 {
-        (self.random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     // ---- The list of servers ----
 
     fn on_list(&mut self, entries: Vec<Entry>, answer: bool, whole: bool) {
@@ -498,39 +500,18 @@
             }
             // Live weights are load in disguise, late and alike for all nodes. The most that a server was
             // ever listed at, when it held least, is its size.
-            let seen = self.servers.get(&entry.server).map_or(0.0, |s| s.size);
-            let size = match self.set.weights {
+            let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry.clone()));
+            server.size = match self.set.weights {
                 Weights::Listed => entry.weight,
-                Weights::Live => entry.weight.max(seen),
+                Weights::Live => entry.weight.max(server.size),
                 Weights::None => 1.0,
             };
-            let server = self.servers.entry(entry.server).or_insert_with(|| Server {
-                entry: entry.clone(),
-                size,
-                share: 1.0,
-                turn: f64::NAN,
-                turn_warmth: 1.0,
-                out: Vec::new(),
-                limit: f64::NAN,
-                last_sent: f64::NEG_INFINITY,
-                last_took: 0.0,
-                consecutive_failures: 0,
-                consecutive_breaks: 0,
-                broke: f64::NEG_INFINITY,
-                ejections: 0,
-                ejected: None,
-                down: false,
-                probing: false,
-                returned: None,
-                stagger: 0.0,
-            });
             if entry.started != server.entry.started {
                 server.restarted(None);
             }
             if !server.listed_up() {
                 server.turn = f64::NAN;
             }
-            server.size = size;
             server.entry = entry;
         }
         // Kept while attempts are out, so that their outcomes still find it.
@@ -550,13 +531,11 @@
 
     /// Follows a change of who is up and not taken out.
     fn regroup(&mut self) {
-        if !self.up().map(|s| s.entry.server).eq(self.members.iter().copied()) {
-            self.members = self.up().map(|s| s.entry.server).collect();
-            self.order = self.preference(&self.members);
+        let members: Vec<_> = self.up().map(|s| s.entry.server).collect();
+        if members != self.members {
+            self.order = self.preference(&members);
+            self.members = members;
         }
-        // Rests and least limits of all sharing nodes add up: kept per node, the looks of a crowd of nodes
-        // alone would keep a slow server from the rest that it needs.
-        self.crowd = (self.sharing() / NODES_PER_SERVER as f64).max(1.0);
         let limit = self.first_limit();
         for server in self.servers.values_mut().filter(|s| s.limit.is_nan()) {
             server.limit = limit;
@@ -570,7 +549,7 @@
             // Backoff with jitter, so that nodes cut off together do not come back together; well within the
             // time after which a node that has not asked counts as told.
             let span = (self.set.rules.ask_within / 40.0) * f64::from(1u32 << failures.min(4));
-            self.call = Call::AskAt(self.now + span * (0.5 + 0.5 * self.random()), failures);
+            self.call = Call::AskAt(self.now + span * (0.5 + 0.5 * chance(&mut self.random)), failures);
         }
     }
 
@@ -597,6 +576,13 @@
         (self.set.nodes * self.subset_size(up)) as f64 / up as f64
     }
 
+    /// How many times more nodes share a server than are wanted, where a subset can be no smaller. Rests and
+    /// least limits of all sharing nodes add up: kept per node, the looks of a crowd of nodes alone would
+    /// keep a slow server from the rest that it needs.
+    fn crowd(&self) -> f64 {
+        (self.sharing() / NODES_PER_SERVER as f64).max(1.0)
+    }
+
     /// The concurrency limit that a server begins with.
     fn first_limit(&self) -> f64 {
         let sharing = self.sharing().max(1.0);
@@ -609,7 +595,7 @@
 
     /// The least that a server's limit can fall to.
     fn least_limit(&self) -> f64 {
-        LIMITS.1 / self.crowd
+        LIMITS.1 / self.crowd()
     }
 
     /// The order in which this node prefers the sorted `members`. All nodes fill the same table (as Maglev
@@ -665,12 +651,8 @@
             }
         }
         subset.sort_unstable();
-        for id in &self.subset {
-            if subset.binary_search(id).is_err() {
-                if let Some(server) = self.servers.get_mut(id) {
-                    server.turn = f64::NAN;
-                }
-            }
+        for (_, server) in self.servers.iter_mut().filter(|(id, _)| subset.binary_search(id).is_err()) {
+            server.turn = f64::NAN;
         }
         (self.subset, self.chosen) = (subset, self.now);
         self.place_newcomers();
@@ -684,24 +666,19 @@
     /// all nodes to begin again at each change of the list, the servers after their offsets would get
     /// everything while the list changes faster than a node gets round.
     fn place_newcomers(&mut self) {
-        let members = self.subset.clone();
-        let count = members.len().max(1);
-        let number = self.set.number;
-        let cursor_at = self.cursor_at.map(|at| members.partition_point(|id| *id <= at));
-        for (place, id) in members.iter().enumerate() {
-            if !self.servers.get(id).is_some_and(|s| s.turn.is_nan()) {
-                continue;
-            }
-            let stagger = self.random();
-            if let Some(server) = self.servers.get_mut(id) {
-                let after = (place + count - cursor_at.unwrap_or(number) % count) % count;
-                let warmth = server.warmth(self.now, &self.set.rules);
-                // Cold ones take a random place: by the cursors alone, many nodes would come at once.
-                let p = if warmth < 1.0 { stagger } else { after as f64 / count as f64 };
-                server.turn = self.cursor + p / (server.size * warmth);
-                server.turn_warmth = warmth;
-                (server.stagger, server.last_sent) = (stagger, server.last_sent.max(self.now));
-            }
+        let count = self.subset.len().max(1);
+        let cursor_at = self.cursor_at.map(|at| self.subset.partition_point(|id| *id <= at));
+        let next = cursor_at.unwrap_or(self.set.number) % count;
+        for (place, id) in self.subset.iter().enumerate() {
+            let Some(server) = self.servers.get_mut(id).filter(|s| s.turn.is_nan()) else { continue };
+            let stagger = chance(&mut self.random);
+            let warmth = server.warmth(self.now, &self.set.rules);
+            // Cold ones take a random place: by the cursors alone, many nodes would come at once.
+            let after = (place + count - next) % count;
+            let p = if warmth < 1.0 { stagger } else { after as f64 / count as f64 };
+            server.turn = self.cursor + p / (server.size * warmth);
+            server.turn_warmth = warmth;
+            (server.stagger, server.last_sent) = (stagger, server.last_sent.max(self.now));
         }
     }
 
@@ -752,7 +729,7 @@
     /// more is out than the limit, but never so long that its recovery would go unseen.
     fn rest(&self, server: &Server) -> Millis {
         let most = self.set.classes.iter().map(|c| 2.0 * c.aim).fold(0.0, f64::max);
-        (server.last_took / server.allowed(self.fleet, self.least_limit())).min(most * self.crowd)
+        (server.last_took / server.allowed(self.fleet, self.least_limit())).min(most * self.crowd())
     }
 
     /// Rule 4: what all nodes send to a cold server in one window must stay below a multiple of what it can
@@ -790,7 +767,7 @@
     }
 
     fn on_probed(&mut self, id: ServerId, outcome: Outcome) {
-        let (now, stagger) = (self.now, self.random());
+        let (now, stagger) = (self.now, chance(&mut self.random));
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.probing = false;
         if server.ejected.is_none() {
@@ -844,14 +821,14 @@
 
     // ---- Requests ----
 
-    fn on_request(&mut self, id: RequestId, mut request: Request, again: bool, actions: &mut Vec<Action>) {
+    fn on_request(&mut self, id: RequestId, mut request: Request, again: bool) {
         if self.requests.contains_key(&id) {
             // An id never comes twice. To answer the repeat would be to answer the first, which is still
             // owed, and to send for it afterwards.
             return;
         }
         if request.class >= self.set.classes.len() {
-            actions.push(Action::Fail(id));
+            self.actions.push(Action::Fail(id));
             return;
         }
         self.retry_budget = (self.retry_budget + RETRY_BUDGET_SHARE).min(RETRY_BUDGET_MAX);
@@ -870,11 +847,11 @@
         let hopeless = (again || self.extra(&request) > 0.0) && left < self.usual(&request);
         self.requests.insert(id, request);
         if hopeless {
-            self.conclude(id, actions);
+            self.conclude(id);
         } else {
             self.waiting.push(id);
         }
-        self.serve_waiting(actions);
+        self.serve_waiting();
     }
 
     /// The time of a request that was coming counts from its last byte. Only then has its server work of it.
@@ -886,7 +863,7 @@
         (request.body, request.asked, request.came, request.deadline) =
             (Body::Passed, asked, self.now, deadline);
         for (attempt, a) in request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
-            if let Some(server) = self.servers.get_mut(&a.server) {
+            if let Some(server) = self.servers.get_mut(&a.to.server) {
                 server.out.push((id, attempt, self.now));
             }
         }
@@ -917,10 +894,10 @@
     /// Is a request within its tenant's share? The share of all nodes is taken to come evenly to each.
     fn take_quota(&mut self, tenant: usize) -> bool {
         let own = self.set.tenants[tenant].quota_per_s / self.set.nodes as f64;
-        let (left, since) = self.quotas[tenant];
-        let left = (left + own * (self.now - since) / 1000.0).min(own.max(1.0));
+        let stats = &mut self.tenants[tenant];
+        let left = (stats.left + own * (self.now - stats.counted) / 1000.0).min(own.max(1.0));
         let within = left >= 1.0;
-        self.quotas[tenant] = (if within { left - 1.0 } else { left }, self.now);
+        (stats.left, stats.counted) = (if within { left - 1.0 } else { left }, self.now);
         within
     }
 
@@ -929,20 +906,20 @@
         self.set.classes[request.class].worth * share
     }
 
-    fn tally(&mut self, request: &Request, of: impl Fn(&mut Served) -> &mut Rate) {
+    fn tally(&mut self, request: &Request, of: impl Fn(&mut Care) -> &mut Rate) {
         let (now, worth) = (self.now, self.worth(request));
-        of(&mut self.class_served[request.class]).add(now, MEMORY, worth);
+        of(&mut self.classes[request.class].care).add(now, MEMORY, worth);
         if let (Some(tenant), true) = (request.tenant, request.in_share) {
-            of(&mut self.tenant_served[tenant]).add(now, MEMORY, worth);
+            of(&mut self.tenants[tenant].care).add(now, MEMORY, worth);
         }
     }
 
     /// What serving one unit of worth adds to the part of the goal that goes by the worst served, for each of
     /// `cares`: all of it for the worst, less for those above it.
-    fn goal_weights(&self, cares: &[Served], goal: f64) -> Vec<f64> {
-        let asked: Vec<f64> = cares.iter().map(|c| c.asked.at(self.now, MEMORY)).collect();
-        let part = |(c, a): (&Served, &f64)| if *a > 0.0 { c.served.at(self.now, MEMORY) / a } else { 1.0 };
-        let parts: Vec<f64> = cares.iter().zip(&asked).map(part).collect();
+    fn goal_weights<'a>(&self, cares: impl Iterator<Item = &'a Care> + Clone, goal: f64) -> Vec<f64> {
+        let asked: Vec<f64> = cares.clone().map(|c| c.asked.at(self.now, MEMORY)).collect();
+        let part = |(c, a): (&Care, &f64)| if *a > 0.0 { c.served.at(self.now, MEMORY) / a } else { 1.0 };
+        let parts: Vec<f64> = cares.zip(&asked).map(part).collect();
         let worst = parts.iter().copied().fold(f64::INFINITY, f64::min);
         let near: Vec<f64> = parts.iter().map(|p| (-(p - worst) / NEAR_WORST).exp()).collect();
         let sum: f64 = near.iter().sum();
@@ -956,38 +933,29 @@
         let Some(request) = self.requests.get(&id) else { return false };
         let class = &self.set.classes[request.class];
         let may = |s: &Server| request.may_repeat(class, &self.set.limits, self.now, Some(&s.entry));
-        let last = request.attempts.last().map(|a| a.server);
+        let last = request.attempts.last().map(|a| a.to.server);
         let again = last == Some(to.entry.server);
         may(to) && !(again && self.rotated().any(|s| Some(s.entry.server) != last && may(s)))
     }
 
-    fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let timeout = self.worth_until(request) - self.now;
-        let (rest, least) = (self.servers.get(&to).map_or(0.0, |s| self.rest(s)), self.least_limit());
+    fn send(&mut self, id: RequestId, to: ServerId) {
+        let (Some(request), Some(server)) = (self.requests.get(&id), self.servers.get(&to)) else { return };
+        let (timeout, rest) = (self.worth_until(request) - self.now, self.rest(server));
+        let allowed = server.allowed(self.fleet, self.least_limit());
         let (Some(request), Some(server)) = (self.requests.get_mut(&id), self.servers.get_mut(&to)) else {
             return;
         };
-        let (zone, cell) = (server.entry.zone, server.entry.cell);
         let alone = server.out.is_empty();
         if request.body == Body::Kept {
             server.out.push((id, request.attempts.len(), self.now));
         }
-        let allowed = server.allowed(self.fleet, least);
         let rested = self.now - server.last_sent;
         (server.last_sent, server.stagger) = (self.now, 1.0);
         let at_limit =
             if allowed < 1.0 { rested <= 2.0 * rest } else { 2.0 * server.out.len() as f64 >= allowed };
-        request.attempts.push(Attempt {
-            server: to,
-            zone,
-            cell,
-            sent: self.now,
-            at_limit,
-            alone,
-            outcome: None,
-        });
-        actions.push(Action::Send { id, server: to, timeout: Some(timeout.max(0.001)) });
+        let (entry, sent) = (server.entry.clone(), self.now);
+        request.attempts.push(Attempt { to: entry, sent, at_limit, alone, outcome: None });
+        self.actions.push(Action::Send { id, server: to, timeout: Some(timeout.max(0.001)) });
     }
 
     /// Until when an answer has its full worth, less the way back to the client.
@@ -1010,38 +978,30 @@
 
     /// Until when an answer is worth anything.
     fn worth_until(&self, request: &Request) -> Millis {
-        let late = self.set.classes[request.class].late_worth > 0.0;
-        if late {
+        if self.set.classes[request.class].late_worth > 0.0 {
             request.deadline
         } else {
             self.useful_until(request)
         }
     }
 
-    fn on_streaming(&mut self, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
+    fn on_streaming(&mut self, id: RequestId, attempt: usize) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.streaming = true;
-            for (n, a) in request.attempts.iter().enumerate() {
-                if n != attempt && a.outcome.is_none() && self.set.limits.cancel {
-                    actions.push(Action::Cancel { id, attempt: n });
-                }
-            }
+            let others = request.cancelled(id, &self.set.limits);
+            self.actions.extend(others.filter(|a| *a != Action::Cancel { id, attempt }));
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_ended(
+    /// An attempt is no longer out at its server.
+    fn on_returned(
         &mut self,
         id: RequestId,
         attempt: usize,
         server: ServerId,
         outcome: Outcome,
         took: Millis,
-        finished: bool,
-        actions: &mut Vec<Action>,
     ) {
-        let now = self.now;
-        let took = if took.is_finite() { took.max(0.0) } else { 0.0 };
         if let Some(s) = self.servers.get_mut(&server) {
             s.out.retain(|o| (o.0, o.1) != (id, attempt));
         }
@@ -1051,29 +1011,31 @@
             self.detect_outlier(server, outcome, took);
         }
         self.servers.retain(|_, s| s.entry.state != Listed::Gone || !s.out.is_empty());
+    }
+
+    /// What becomes of a request when one of its attempts has ended.
+    fn on_ended(&mut self, id: RequestId, attempt: usize, outcome: Outcome, took: Millis, finished: bool) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
-        let (class, ended) = (request.class, *ended);
-        let (work, open) = (request.work, request.pending() || request.streaming);
-        self.learn(class, work, ended, outcome, took);
+        let (class, work, ended) = (request.class, request.work, ended.clone());
+        let open = request.pending() || request.streaming;
+        self.learn(class, work, &ended, outcome, took);
         if finished {
-            if let Some(request) = self.requests.remove(&id) {
-                if now - request.asked <= self.set.classes[class].aim {
+            if let Some(request) = self.forget(id) {
+                if self.now - request.asked <= self.set.classes[class].aim {
                     self.tally(&request, |care| &mut care.served);
                 }
-                self.requests.insert(id, request);
             }
-            self.forget(id, actions);
         } else if !open {
-            self.further(id, outcome, actions);
+            self.further(id, outcome);
         }
-        self.serve_waiting(actions);
+        self.serve_waiting();
     }
 
     /// What the end of an attempt says of its server's pace, for the limit, the share and the usual times.
-    fn learn(&mut self, class: usize, work: Option<Millis>, of: Attempt, outcome: Outcome, took: Millis) {
-        let Attempt { server: id, at_limit, alone, .. } = of;
+    fn learn(&mut self, class: usize, work: Option<Millis>, of: &Attempt, outcome: Outcome, took: Millis) {
+        let (id, at_limit, alone) = (of.to.server, of.at_limit, of.alone);
         let (now, rules, done) = (self.now, &self.set.rules, outcome == Outcome::Done);
         let (first, least_limit) = (self.first_limit(), self.least_limit());
         let part = match outcome {
@@ -1142,7 +1104,7 @@
     }
 
     /// What becomes of a request whose attempts have all failed.
-    fn further(&mut self, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
+    fn further(&mut self, id: RequestId, outcome: Outcome) {
         let Some(request) = self.requests.get(&id) else { return };
         let class = &self.set.classes[request.class];
         let time = self.worth_until(request) - self.now > self.usual(request);
@@ -1155,37 +1117,35 @@
             }
             self.waiting.push(id);
         } else {
-            self.conclude(id, actions);
+            self.conclude(id);
         }
     }
 
     /// The final answer of a request that is not served: refused where rule 2 lets it, else failed.
-    fn conclude(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    fn conclude(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         let class = &self.set.classes[request.class];
         if request.may_repeat(class, &self.set.limits, self.now, None) {
             let stay_away = (STAY_AWAY * class.aim).min(self.set.limits.max_retry_after);
-            actions.push(Action::Refuse { id, stay_away });
+            self.actions.push(Action::Refuse { id, stay_away });
         } else {
-            actions.push(Action::Fail(id));
+            self.actions.push(Action::Fail(id));
         }
-        self.forget(id, actions);
+        self.forget(id);
     }
 
     /// Drops a request that is over; attempts that are still out are of no use any more.
-    fn forget(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        if let Some(request) = self.requests.remove(&id) {
-            for (attempt, a) in request.attempts.iter().enumerate() {
-                if a.outcome.is_none() && self.set.limits.cancel && !request.streaming {
-                    actions.push(Action::Cancel { id, attempt });
-                }
-            }
+    fn forget(&mut self, id: RequestId) -> Option<Request> {
+        let request = self.requests.remove(&id)?;
+        if !request.streaming {
+            self.actions.extend(request.cancelled(id, &self.set.limits));
         }
+        Some(request)
     }
 
     /// Sends what is held, in the order of what it adds to the goal for the work it takes, and answers what
     /// has waited too long. First come, first served would shed by the length of the aims, not by worth.
-    fn serve_waiting(&mut self, actions: &mut Vec<Action>) {
+    fn serve_waiting(&mut self) {
         let last = 2.0 * self.period();
         let mut held = Vec::new();
         for id in std::mem::take(&mut self.waiting) {
@@ -1207,14 +1167,14 @@
                 if request.attempts.is_empty() {
                     self.shed = self.now;
                 }
-                self.conclude(id, actions);
+                self.conclude(id);
             }
         }
         // No turn is taken but for a request that may go: a held one that no ready server may have would else
         // use up the turns of all the others.
         while let Some(server) = self.next_turn(|b, s| b.ready(s) && held.iter().any(|id| b.may_go(*id, s))) {
             let Some(place) = self.best_held(&held, server) else { break };
-            self.send(held.swap_remove(place), server, actions);
+            self.send(held.swap_remove(place), server);
         }
         self.held_since = if held.is_empty() { None } else { self.held_since.or(Some(self.now)) };
         self.waiting = held;
@@ -1229,9 +1189,9 @@
             return may.next_back();
         }
         let goal = &self.set.goal;
-        let asked: f64 = self.class_served.iter().map(|c| c.asked.at(self.now, MEMORY)).sum();
-        let by_class = self.goal_weights(&self.class_served, goal.worst_class);
-        let by_tenant = self.goal_weights(&self.tenant_served, goal.worst_tenant);
+        let asked: f64 = self.classes.iter().map(|c| c.care.asked.at(self.now, MEMORY)).sum();
+        let by_class = self.goal_weights(self.classes.iter().map(|c| &c.care), goal.worst_class);
+        let by_tenant = self.goal_weights(self.tenants.iter().map(|t| &t.care), goal.worst_tenant);
         let times = self.times.get(&to.entry.kind);
         let key = |place: usize| {
             let r = self.requests.get(&held[place])?;
@@ -1248,13 +1208,13 @@
 
     // ---- What time brings ----
 
-    fn sweep(&mut self, actions: &mut Vec<Action>) {
+    fn sweep(&mut self) {
         let now = self.now;
         self.swept = now;
         match self.call {
             Call::AskAt(at, failures) if now >= at => {
                 self.call = Call::Asked(now, failures);
-                actions.push(Action::Subscribe);
+                self.actions.push(Action::Subscribe);
             }
             // No answer at all: taken for a failure.
             Call::Asked(at, _) if now - at >= self.set.rules.ask_within => self.on_list_failed(),
@@ -1267,7 +1227,7 @@
             .collect();
         for id in due {
             if self.set.limits.probes {
-                actions.push(Action::Probe(id));
+                self.actions.push(Action::Probe(id));
                 if let Some(server) = self.servers.get_mut(&id) {
                     server.probing = true;
                 }
@@ -1278,6 +1238,6 @@
         if now >= self.chosen + self.warmth_step() && self.rotated().any(|s| s.turn_warmth < 1.0) {
             self.choose_subset();
         }
-        self.serve_waiting(actions);
+        self.serve_waiting();
     }
 }
