--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -12,8 +12,11 @@
 use member::DRIFT;
 use serde::Deserialize;
 
-/// The longest name of a cluster or node, in bytes.
-pub const NAME_MOST: usize = 64;
+use crate::leader::{Terms, TermsError, Unreachable};
+use crate::policy::POLICY_MOST;
+
+/// The longest name of a cluster, in bytes.
+const CLUSTER_MOST: usize = 64;
 /// How many replicas a group may have.
 const REPLICAS_MOST: usize = 7;
 
@@ -28,62 +31,31 @@
     pub listen: SocketAddr,
     /// Its state folder; made where it is not there.
     pub dir: PathBuf,
-    /// Where each replica of the group is reached, this one too, as the group was first started.
+    /// Where nodes, operators and the other replicas reach it.
+    pub address: SocketAddr,
+    /// The replicas that form the group, this one among them; none where it is added to a group that is there.
     pub peers: BTreeMap<u64, SocketAddr>,
-    /// How long things may take.
+    /// How long members may take for what.
     pub terms: Terms,
+    /// How replicas find a leader.
+    pub election: Election,
     /// How much of everything there may be.
     pub limits: Limits,
 }
 
-/// How long things may take, in milliseconds.
+/// How replicas find a leader, in milliseconds. All replicas of a group should have the same.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
-pub struct Terms {
-    /// What becomes of a change while a member can't be reached.
-    pub unreachable: Unreachable,
-    /// How long after one beat a member sends the next.
-    pub beat_ms: u64,
-    /// After how long without a beat a member is silent.
-    pub session_ms: u64,
-    /// How long members have to stage a change.
-    pub stage_ms: u64,
-    /// How long a member takes requests under the old policy without having heard what became of a change.
-    pub promise_ms: u64,
-    /// How long a member of a fenced fleet takes requests without an answer of the leader.
-    pub lease_ms: u64,
-    /// What must be left of each promise when a change is committed.
-    pub reserve_ms: u64,
+pub struct Election {
     /// How often the leader speaks to the other replicas.
     pub heartbeat_ms: u64,
     /// How long after the leader's last word a replica stands for election: drawn between the two.
-    pub election_ms: (u64, u64),
-}
-
-/// What becomes of a change while a member can't be reached.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
-#[serde(rename_all = "snake_case")]
-pub enum Unreachable {
-    /// The change is aborted; who is cut off serves on under the agreed policy.
-    #[default]
-    Abort,
-    /// Who is cut off takes nothing new once its lease is over; the change then goes on without it.
-    Fence,
+    pub after_ms: (u64, u64),
 }
 
-impl Default for Terms {
+impl Default for Election {
     fn default() -> Self {
-        Self {
-            unreachable: Unreachable::Abort,
-            beat_ms: 250,
-            session_ms: 3000,
-            stage_ms: 2000,
-            promise_ms: 2000,
-            lease_ms: 2000,
-            reserve_ms: 200,
-            heartbeat_ms: 100,
-            election_ms: (400, 800),
-        }
+        Self { heartbeat_ms: 100, after_ms: (300, 600) }
     }
 }
 
@@ -91,17 +63,15 @@
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct Limits {
-    /// Processes that are members at once.
-    pub members: usize,
     /// Connections; each node has two, each other replica a few.
     pub connections: usize,
-    /// Bytes of a policy, and of any call's body but the replicas' own.
+    /// Bytes of an operator's body, and so of a policy with what is round it.
     pub body_bytes: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { members: 4096, connections: 2048, body_bytes: 64 * 1024 }
+        Self { connections: 2048, body_bytes: POLICY_MOST + 1024 }
     }
 }
 
@@ -138,6 +108,14 @@
         /// What it may have.
         expected: String,
     },
+    /// Terms that don't fit together.
+    #[error("{}: terms.{error}", file.display())]
+    Terms {
+        /// The file.
+        file: PathBuf,
+        /// Which.
+        error: TermsError,
+    },
 }
 
 /// A configuration as it is written.
@@ -148,10 +126,15 @@
     id: u64,
     listen: SocketAddr,
     dir: PathBuf,
+    #[serde(default)]
     peers: BTreeMap<String, SocketAddr>,
     #[serde(default)]
+    joins: bool,
+    #[serde(default)]
     terms: Terms,
     #[serde(default)]
+    election: Election,
+    #[serde(default)]
     limits: Limits,
 }
 
@@ -182,6 +165,7 @@
         })?;
         let written: Written = serde_path_to_error::deserialize(document)
             .map_err(|e| form(e.path().to_string(), e.inner().message()))?;
+        written.terms.check().map_err(|error| ConfigError::Terms { file: file.to_owned(), error })?;
         written.checked().map_err(|wrong| ConfigError::Value {
             file: file.to_owned(),
             path: wrong.path,
@@ -209,16 +193,16 @@
     wrong(path, value, format!("from {} to {}", range.start(), range.end()))
 }
 
-/// Is this fit to name a cluster or node: short, and the same in a path, a log line and a shell?
-pub fn is_name(name: &str) -> bool {
+/// Is this fit to name a cluster or node: at most so many bytes, and the same in a path, a log line and a shell?
+pub fn is_name(name: &str, most: usize) -> bool {
     let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
-    (1..=NAME_MOST).contains(&name.len()) && name.chars().all(plain)
+    (1..=most).contains(&name.len()) && name.chars().all(plain)
 }
 
 impl Written {
     fn checked(self) -> Result<Config, Wrong> {
-        if !is_name(&self.cluster) {
-            let expected = format!("1 to {NAME_MOST} letters, digits, dots, dashes or underscores");
+        if !is_name(&self.cluster, CLUSTER_MOST) {
+            let expected = format!("1 to {CLUSTER_MOST} letters, digits, dots, dashes or underscores");
             return wrong("cluster", format!("{:?}", self.cluster), expected);
         }
         if self.listen.port() == 0 {
@@ -241,57 +225,60 @@
                 return wrong(path, id, "each replica's number once");
             }
         }
-        if !(1..=REPLICAS_MOST).contains(&peers.len()) {
-            return wrong(
-                "peers",
-                format!("{} replicas", peers.len()),
-                format!("1 to {REPLICAS_MOST}; 3 bear the loss of one"),
-            );
-        }
-        if !peers.contains_key(&self.id) {
+        if self.joins {
+            if let Some((id, _)) = peers.first_key_value() {
+                return wrong(
+                    "peers",
+                    format!("replica {id}"),
+                    "empty where joins = true: it learns the group",
+                );
+            }
+            if self.listen.ip().is_unspecified() {
+                return wrong("listen", self.listen, "the address that the others reach, where joins = true");
+            }
+        } else if !(1..=REPLICAS_MOST).contains(&peers.len()) {
+            let expected = format!("1 to {REPLICAS_MOST}; 3 bear the loss of one");
+            return wrong("peers", format!("{} replicas", peers.len()), expected);
+        } else if !peers.contains_key(&self.id) {
             let ids: Vec<_> = peers.keys().map(u64::to_string).collect();
-            return wrong("id", self.id, format!("one of the peers: {}", ids.join(", ")));
+            let expected = format!("one of the peers, {}, or a new number and joins = true", ids.join(", "));
+            return wrong("id", self.id, expected);
         }
-        self.terms.check()?;
+        self.election.check()?;
+        self.election.fits(&self.terms)?;
         self.limits.check()?;
-        let Self { cluster, id, listen, dir, terms, limits, .. } = self;
-        Ok(Config { cluster, id, listen, dir, peers, terms, limits })
+        let Self { cluster, id, listen, dir, terms, election, limits, .. } = self;
+        let address = peers.get(&id).copied().unwrap_or(listen);
+        Ok(Config { cluster, id, listen, address, dir, peers, terms, election, limits })
     }
 }
 
-impl Terms {
+impl Election {
     fn check(&self) -> Result<(), Wrong> {
         const LONGEST: u64 = 60_000;
-        let (soonest, latest) = self.election_ms;
-        within("terms.heartbeat_ms", self.heartbeat_ms, 10..=LONGEST)?;
-        within("terms.beat_ms", self.beat_ms, 10..=LONGEST)?;
-        within("terms.reserve_ms", self.reserve_ms, 10..=LONGEST)?;
+        let (soonest, latest) = self.after_ms;
+        within("election.heartbeat_ms", self.heartbeat_ms, 10..=LONGEST)?;
         let least = 2 * self.heartbeat_ms;
-        if soonest < least || latest > LONGEST {
-            let expected = format!("from {least} (two of terms.heartbeat_ms) to {LONGEST}");
-            return wrong("terms.election_ms", format!("[{soonest}, {latest}]"), expected);
-        }
-        if latest <= soonest {
-            let expected = "two spans, the second the longer, so that replicas do not stand all at once";
-            return wrong("terms.election_ms", format!("[{soonest}, {latest}]"), expected);
+        if soonest < least || latest <= soonest || latest > LONGEST {
+            let expected =
+                format!("two spans that grow, from {least} (two of election.heartbeat_ms) to {LONGEST}");
+            return wrong("election.after_ms", format!("[{soonest}, {latest}]"), expected);
         }
-        // Each bound as (field, value, the least, which fields make it).
-        let beats = 2 * self.beat_ms;
-        // What goes by from a leader's death until its follower has answered a beat.
-        let change = latest + beats;
-        let granted = ((change + self.reserve_ms) as f64 * (1.0 + DRIFT)).ceil() as u64;
-        let sum = "terms.election_ms[1] + 2 terms.beat_ms + terms.reserve_ms, and clocks' drift";
-        let mut bounds = vec![
-            ("terms.session_ms", self.session_ms, beats, "2 terms.beat_ms"),
-            ("terms.stage_ms", self.stage_ms, beats, "2 terms.beat_ms"),
-            ("terms.promise_ms", self.promise_ms, granted, sum),
-        ];
-        if self.unreachable == Unreachable::Fence {
-            bounds.push(("terms.lease_ms", self.lease_ms, granted, sum));
+        Ok(())
+    }
+
+    /// Spans that members are granted outlast the loss of a leader: an election, two beats and the write's reserve.
+    fn fits(&self, terms: &Terms) -> Result<(), Wrong> {
+        let gap = self.after_ms.1 as f64 + 2.0 * terms.beat_ms;
+        let least = ((gap + terms.reserve_ms) / (1.0 - DRIFT)).ceil();
+        let mut spans = vec![("terms.promise_ms", terms.promise_ms)];
+        if terms.unreachable == Unreachable::Fence {
+            spans.push(("terms.lease_ms", terms.lease_ms));
         }
-        for (path, value, least, why) in bounds {
-            if !(least..=LONGEST).contains(&value) {
-                return wrong(path, value, format!("from {least} ({why}) to {LONGEST}"));
+        for (path, span) in spans {
+            if span < least {
+                let sum = "election.after_ms[1] + 2 terms.beat_ms + terms.reserve_ms, and clocks' drift";
+                return wrong(path, span, format!("at least {least} ({sum})"));
             }
         }
         Ok(())
@@ -300,7 +287,6 @@
 
 impl Limits {
     fn check(&self) -> Result<(), Wrong> {
-        within("limits.members", self.members as u64, 1..=65_536)?;
         within("limits.connections", self.connections as u64, 16..=65_536)?;
         within("limits.body_bytes", self.body_bytes as u64, 1024..=1024 * 1024)
     }
@@ -320,14 +306,19 @@
 2 = "127.0.0.1:9302"
 [terms]
 promise_ms = 3000
+[election]
+after_ms = [300, 600]
 [limits]
-members = 100
+connections = 100
 "#;
 
     #[test]
     fn a_good_file_is_taken() {
         let config = Config::parse(Path::new("c.toml"), GOOD).expect("is good");
-        assert_eq!((config.peers.len(), config.terms.promise_ms, config.limits.members), (2, 3000, 100));
+        assert_eq!(
+            (config.peers.len(), config.terms.promise_ms, config.limits.connections),
+            (2, 3000.0, 100)
+        );
         assert_eq!(config.terms.unreachable, Unreachable::Abort);
     }
 
@@ -335,44 +326,34 @@
     fn each_fault_is_named_by_its_path() {
         for (from, to, says) in [
             ("id = 1", "id = \"x\"", "c.toml: id: invalid type"),
-            ("id = 1", "id = 3", "c.toml: id: 3, but must be one of the peers: 1, 2"),
+            ("id = 1", "id = 3", "c.toml: id: 3, but must be one of the peers, 1, 2, or a new"),
+            ("id = 1", "id = 3\njoins = true", "c.toml: peers: replica 1, but must be empty"),
+            ("\"east\"", "\"e/t\"", "c.toml: cluster: \"e/t\", but must be 1 to 64"),
             ("cluster = \"east\"", "", "missing field `cluster`"),
-            ("cluster = \"east\"", "cluster = \"e/t\"", "c.toml: cluster: \"e/t\", but must be 1 to 64"),
             ("cluster = \"east\"", "cluster = ", "c.toml: line 2: "),
             ("dir = ", "folder = ", "c.toml: folder: unknown field `folder`"),
-            ("2 = \"127.0.0.1:9302\"", "2 = \"host\"", "c.toml: peers.2: invalid socket address"),
-            (
-                "2 = \"127.0.0.1:9302\"",
-                "2 = \"127.0.0.1:9301\"",
-                "c.toml: peers.2: 127.0.0.1:9301, but must be an address of",
-            ),
-            (
-                "2 = \"127.0.0.1:9302\"",
-                "b = \"127.0.0.1:9302\"",
-                "c.toml: peers.b: \"b\", but must be a replica's",
-            ),
+            ("\"127.0.0.1:9302\"", "\"host\"", "c.toml: peers.2: invalid socket address"),
+            ("\"127.0.0.1:9302\"", "\"127.0.0.1:9301\"", "c.toml: peers.2: 127.0.0.1:9301, but must be an"),
+            ("2 = ", "b = ", "c.toml: peers.b: \"b\", but must be a replica's"),
             ("promise_ms = 3000", "promise = 1", "c.toml: terms.promise: unknown field"),
             (
                 "promise_ms = 3000",
-                "promise_ms = 1500",
-                "c.toml: terms.promise_ms: 1500, but must be from 1515 (terms.election",
-            ),
-            (
-                "promise_ms = 3000",
-                "election_ms = [150, 800]",
-                "c.toml: terms.election_ms: [150, 800], but must be from 200",
+                "promise_ms = 1200",
+                "c.toml: terms.promise_ms: 1200, but must be at least 1314",
             ),
+            ("promise_ms = 3000", "promise_ms = 100", "c.toml: terms.promise_ms = 100 must be at least 7"),
             (
                 "promise_ms = 3000",
                 "unreachable = \"wait\"",
-                "c.toml: terms.unreachable: unknown variant `wait`, expected `abort` or `fence`",
+                "unknown variant `wait`, expected `abort` or `fence`",
             ),
             (
                 "promise_ms = 3000",
-                "unreachable = \"fence\"\nlease_ms = 100",
-                "c.toml: terms.lease_ms: 100, but",
+                "unreachable = \"fence\"\nlease_ms = 700",
+                "c.toml: terms.lease_ms: 700, but",
             ),
-            ("members = 100", "members = 0", "c.toml: limits.members: 0, but must be from 1 to 65536"),
+            ("[300, 600]", "[150, 600]", "c.toml: election.after_ms: [150, 600], but must be two spans"),
+            ("connections = 100", "connections = 0", "c.toml: limits.connections: 0, but must be from 16 to"),
         ] {
             assert!(GOOD.contains(from), "{from}");
             let error =
--- /dev/null
+++ b/crates/control/src/edge/actor.rs
@@ -0,0 +1,344 @@
+//! The one task that holds the [`Leader`] while this replica leads: what happens goes in, what it wants is carried out.
+//!
+//! Each term has a leader of its own. When a term is over, all that it waits for is dropped with it: whoever has a beat
+//! there hears that this replica does not lead, and what was written stands or falls by the log.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use consensus::{Leading, Replica};
+use member::{Answer, Beat, Epoch, Millis, Process, Word};
+use serde::Serialize;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout, Instant};
+
+use crate::leader::{Effect, Input, Leader, Refusal, Terms};
+use crate::machine::Agreement;
+
+/// How many calls may wait to be taken.
+const CALLS_MOST: usize = 4096;
+/// How long a connection to where a process lives is tried.
+const PROBE: Duration = Duration::from_millis(200);
+
+/// A call to the leader here; dropped unanswered where this replica does not lead.
+enum Call {
+    Beat(Beat, oneshot::Sender<Result<Answer, Refusal>>),
+    Nodes(oneshot::Sender<Nodes>),
+}
+
+/// Why the leader here gives no answer.
+#[derive(Debug)]
+pub enum Unanswered {
+    /// It is not the leader, or not any more.
+    NotLeader,
+    /// As many calls wait as may.
+    Busy,
+    /// It says no.
+    Refused(Refusal),
+}
+
+/// What the leader knows of the members.
+#[derive(Debug, Serialize)]
+pub struct Nodes {
+    /// The log's version.
+    pub version: u64,
+    /// The leader's term.
+    pub term: u64,
+    /// The agreed epoch.
+    pub epoch: Epoch,
+    /// The change under way.
+    pub change: Option<u64>,
+    /// Each process.
+    pub nodes: Vec<Node>,
+}
+
+/// A process of a node.
+#[derive(Debug, Serialize)]
+pub struct Node {
+    /// The node.
+    pub name: String,
+    /// The process.
+    pub boot: u64,
+    /// Where it listens as long as it lives.
+    pub life: SocketAddr,
+    /// It takes nothing without a lease.
+    pub fenced: bool,
+    /// How long ago it was heard, by this leader's clock; since the term's begin where it was not.
+    pub heard_ms: Millis,
+    /// It was not heard for a session.
+    pub silent: bool,
+    /// The epoch that it takes requests under, as it last said to this leader.
+    pub active: Option<Epoch>,
+    /// It has staged the change under way.
+    pub staged: bool,
+    /// Why it refuses that change.
+    pub refused: Option<String>,
+}
+
+/// The way to the actor.
+#[derive(Clone)]
+pub struct Handle(mpsc::Sender<Call>);
+
+impl Handle {
+    /// Has the leader here answer a beat.
+    ///
+    /// # Errors
+    /// Where there is none here, or it says no.
+    pub async fn beat(&self, beat: Beat) -> Result<Answer, Unanswered> {
+        self.call(|answer| Call::Beat(beat, answer)).await?.map_err(Unanswered::Refused)
+    }
+
+    /// What the leader here knows of the members.
+    ///
+    /// # Errors
+    /// Where there is none here.
+    pub async fn nodes(&self) -> Result<Nodes, Unanswered> {
+        self.call(Call::Nodes).await
+    }
+
+    async fn call<T>(&self, call: impl FnOnce(oneshot::Sender<T>) -> Call) -> Result<T, Unanswered> {
+        let (answer, answered) = oneshot::channel();
+        self.0.try_send(call(answer)).map_err(|e| match e {
+            mpsc::error::TrySendError::Full(_) => Unanswered::Busy,
+            mpsc::error::TrySendError::Closed(_) => Unanswered::NotLeader,
+        })?;
+        answered.await.map_err(|_| Unanswered::NotLeader)
+    }
+}
+
+/// The actor, to be run, and the way to it.
+pub fn new(replica: Replica<Agreement>, terms: Terms) -> (Handle, Actor) {
+    let (sender, calls) = mpsc::channel(CALLS_MOST);
+    (Handle(sender), Actor { replica, terms, calls, start: Instant::now() })
+}
+
+/// See the module.
+pub struct Actor {
+    replica: Replica<Agreement>,
+    terms: Terms,
+    calls: mpsc::Receiver<Call>,
+    start: Instant,
+}
+
+impl Actor {
+    /// Leads whenever this replica does; ends at the stop.
+    pub async fn run(mut self, mut stopping: watch::Receiver<bool>) {
+        let mut leading = self.replica.leading();
+        let mut applied = self.replica.applied();
+        let mut term: Option<Term> = None;
+        loop {
+            let led = leading.borrow_and_update().clone();
+            if term.as_ref().is_some_and(|term| !term.goes_on(&led)) {
+                tracing::info!(term = led.term, "leads no more");
+                term = None;
+            }
+            if led.me && term.is_none() {
+                tracing::info!(term = led.term, "leads");
+                term = Some(Term::new(&self, led.term));
+            }
+            let event = tokio::select! {
+                changed = leading.changed() => if changed.is_err() { return } else { continue },
+                _ = stopping.wait_for(|stopping| *stopping) => return,
+                call = self.calls.recv() => match call {
+                    Some(call) => Event::Call(call),
+                    None => return,
+                },
+                Some(input) = next(&mut term) => Event::Input(input),
+                changed = applied.changed(), if term.is_some() => {
+                    if changed.is_err() { return }
+                    Event::Input(Input::Applied)
+                }
+            };
+            // What was done for a term counts for that term alone, which may have ended since.
+            match &mut term {
+                Some(term) if term.goes_on(&leading.borrow()) => term.take(event),
+                _ => {}
+            }
+        }
+    }
+}
+
+enum Event {
+    Call(Call),
+    Input(Input),
+}
+
+/// What the term's own tasks and timer bring; waits for ever without a term.
+async fn next(term: &mut Option<Term>) -> Option<Input> {
+    let Some(term) = term else { return std::future::pending().await };
+    let due = term.leader.next().map_or(Duration::MAX, |next| {
+        let wait = (next - term.now()).clamp(0.0, 60_000.0);
+        Duration::from_secs_f64(wait / 1000.0)
+    });
+    tokio::select! {
+        Some(done) = term.tasks.join_next() => Some(match done {
+            Ok(input) => input,
+            // Tasks don't panic, and are aborted with the term alone.
+            Err(error) => {
+                tracing::error!(%error, "a task of the leader ended early");
+                Input::Tick
+            }
+        }),
+        () = sleep(due) => Some(Input::Tick),
+    }
+}
+
+/// One term that this replica leads.
+struct Term {
+    number: u64,
+    leader: Leader,
+    replica: Replica<Agreement>,
+    session_ms: Millis,
+    start: Instant,
+    /// Who waits for an answer, by token.
+    waiting: HashMap<u64, oneshot::Sender<Result<Answer, Refusal>>>,
+    token: u64,
+    /// Writes, confirms and probes on their way; at most one a process, one change and one round.
+    tasks: JoinSet<Input>,
+    /// What each member last said of its epoch and of a change.
+    said: BTreeMap<Process, (Option<Epoch>, Option<Word>)>,
+}
+
+impl Term {
+    fn new(actor: &Actor, number: u64) -> Self {
+        let now = ms(actor.start.elapsed());
+        Self {
+            number,
+            leader: Leader::new(actor.terms.clone(), number, now),
+            replica: actor.replica.clone(),
+            session_ms: actor.terms.session_ms,
+            start: actor.start,
+            waiting: HashMap::new(),
+            token: 0,
+            tasks: JoinSet::new(),
+            said: BTreeMap::new(),
+        }
+    }
+
+    fn now(&self) -> Millis {
+        ms(self.start.elapsed())
+    }
+
+    fn goes_on(&self, leading: &Leading) -> bool {
+        leading.me && leading.term == self.number
+    }
+
+    fn take(&mut self, event: Event) {
+        let input = match event {
+            Event::Input(input) => input,
+            Event::Call(Call::Nodes(answer)) => {
+                // Who asked may have gone.
+                let _ = answer.send(self.nodes());
+                return;
+            }
+            Event::Call(Call::Beat(beat, answer)) => {
+                let member =
+                    self.replica.read(|agreement, _| agreement.roster().seat(&beat.process).is_some());
+                if member {
+                    self.said.insert(beat.process.clone(), (beat.active, beat.change.clone()));
+                }
+                self.token += 1;
+                self.waiting.insert(self.token, answer);
+                Input::Beat { token: self.token, beat }
+            }
+        };
+        if matches!(input, Input::Applied) {
+            let said = &mut self.said;
+            self.replica
+                .read(|agreement, _| said.retain(|process, _| agreement.roster().seat(process).is_some()));
+        }
+        let (now, leader) = (self.now(), &mut self.leader);
+        let effects = self.replica.read(|agreement, _| leader.handle(now, input, agreement));
+        for effect in effects {
+            self.carry_out(now, effect);
+        }
+    }
+
+    fn carry_out(&mut self, now: Millis, effect: Effect) {
+        let replica = self.replica.clone();
+        match effect {
+            Effect::Answer { token, answer } => self.answer(token, Ok(*answer)),
+            Effect::Refuse { token, why } => self.answer(token, Err(why)),
+            Effect::Write(command) => {
+                self.tasks.spawn(async move {
+                    let outcome = match replica.write(command.clone()).await {
+                        Ok((_, outcome)) => Some(outcome),
+                        Err(error) => {
+                            tracing::debug!(%error, ?command, "a write of the leader failed");
+                            None
+                        }
+                    };
+                    Input::Written { command, outcome }
+                });
+            }
+            Effect::Confirm => {
+                self.tasks.spawn(async move {
+                    match replica.confirm().await {
+                        Ok(()) => Input::Confirmed { asked: now },
+                        Err(_) => Input::Unconfirmed { asked: now },
+                    }
+                });
+            }
+            Effect::Probe { process, life } => {
+                self.tasks.spawn(async move {
+                    let tried = timeout(PROBE, TcpStream::connect(life)).await;
+                    let refused =
+                        matches!(tried, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
+                    Input::Probed { process, refused }
+                });
+            }
+        }
+    }
+
+    fn answer(&mut self, token: u64, answer: Result<Answer, Refusal>) {
+        if let Some(waiting) = self.waiting.remove(&token) {
+            // Who asked may have gone.
+            let _ = waiting.send(answer);
+        }
+    }
+
+    fn nodes(&self) -> Nodes {
+        let now = self.now();
+        let heard: BTreeMap<&Process, Millis> = self.leader.sessions(now).collect();
+        self.replica.read(|agreement, version| {
+            let change = agreement.book().change().map(|change| change.id);
+            let nodes = agreement.roster().members().map(|(process, seat)| {
+                let heard_ms = heard.get(process).copied().unwrap_or_default();
+                let (active, word) = self.said.get(process).cloned().unwrap_or_default();
+                let (staged, refused) = match word {
+                    Some(Word::Staged { change: about, .. }) => (change == Some(about), None),
+                    Some(Word::Refused { change: about, words }) if change == Some(about) => {
+                        (false, Some(words))
+                    }
+                    _ => (false, None),
+                };
+                Node {
+                    name: process.name.clone(),
+                    boot: process.boot,
+                    life: seat.life,
+                    fenced: seat.fenced,
+                    heard_ms: heard_ms.round(),
+                    silent: heard_ms >= self.session_ms,
+                    active,
+                    staged,
+                    refused,
+                }
+            });
+            Nodes {
+                version,
+                term: self.number,
+                epoch: agreement.book().epoch(),
+                change: change.map(|change| change.0),
+                nodes: nodes.collect(),
+            }
+        })
+    }
+}
+
+fn ms(span: Duration) -> Millis {
+    span.as_secs_f64() * 1000.0
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,7 +9,7 @@
 //! | [`leader`] | pure too, but not on the log: sessions, promises and leases by one leader's monotonic clock; what it would have written, answered and asked |
 //! | [`config`] | one replica's configuration, checked whole |
 //! | [`hub`], [`gate`], [`sync`] | what threads share: the watch's newest line, and who is inside |
-//! | `edge` | HTTP: nodes' beats and watches, operators' calls, the replicas' own messages |
+//! | [`edge`] | HTTP: nodes' beats and watches, operators' calls, the replicas' own messages |
 //!
 //! Adding a subject (votes, the list, the catalog) is adding a module, its commands and its part of the snapshot.
 //!
@@ -18,6 +18,7 @@
 
 pub mod command;
 pub mod config;
+pub mod edge;
 pub mod gate;
 pub mod hub;
 pub mod leader;
--- a/crates/stoneshift/src/main.rs
+++ b/crates/stoneshift/src/main.rs
@@ -1,7 +1,9 @@
 //! The command line: experiments on real nodes.
 //!
-//! Exit codes: 0 what must hold held, 1 it did not or the run does not count, 2 the call or a file is wrong.
+//! Exit codes: 0 what must hold held, 1 it did not or the run does not count, 2 the call or a file is wrong. Of a
+//! replica: 0 it was told to end, 1 it can't go on, 2 its configuration is wrong.
 
+mod control;
 mod curve;
 mod failure;
 mod model;
@@ -17,6 +19,9 @@
 use indicatif::ProgressStyle;
 use lab::compare;
 use lab::error::FileError;
+use tracing_subscriber::filter::{LevelFilter, Targets};
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
 
 use self::failure::Failure;
 
@@ -33,7 +38,7 @@
     log_format: Form,
     /// Which log lines are written: error, warn, info, debug or trace.
     #[arg(long, global = true, default_value = "warn")]
-    log_level: tracing_subscriber::filter::LevelFilter,
+    log_level: LevelFilter,
     #[command(subcommand)]
     command: Command,
 }
@@ -54,6 +59,8 @@
         #[command(subcommand)]
         command: Lab,
     },
+    /// One replica of the control group that a fleet agrees on its policy by; runs until SIGTERM.
+    Control(control::Control),
     /// Compares two runs, or two sets of plays: medians, spread, what moved beyond it.
     Report {
         /// A result.json, or a folder with some below it.
@@ -81,14 +88,19 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let log = tracing_subscriber::fmt().with_writer(io::stderr).with_max_level(cli.log_level);
+    // The consensus library tells each of its steps at info: of use to who looks into the library alone.
+    let library = if cli.log_level > LevelFilter::INFO { cli.log_level } else { LevelFilter::WARN };
+    let targets =
+        Targets::new().with_default(cli.log_level).with_target("openraft", library.min(cli.log_level));
     match cli.log_format {
-        Form::Text => log.init(),
-        Form::Json => log.json().init(),
+        Form::Text => log.finish().with(targets).init(),
+        Form::Json => log.json().finish().with(targets).init(),
     }
     let done = match cli.command {
         Command::Lab { command: Lab::Run(run) } => run.play(),
         Command::Lab { command: Lab::Model(model) } => model.play(),
         Command::Lab { command: Lab::Curve(plays) } => plays.play(),
+        Command::Control(replica) => return replica.run(),
         Command::Report { a, b } => report(&a, &b),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "stoneshift", &mut io::stdout());
