--- a/crates/consensus/tests/group.rs
+++ b/crates/consensus/tests/group.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use consensus::WriteError;
 use support::{Group, Note};
 
 #[tokio::test]
@@ -25,8 +26,203 @@
     let follower = group.places.keys().find(|id| **id != leader).expect("two others");
     let refused = group.place(*follower).write(0).await.expect("it runs");
     let address = group.place(leader).config.address;
-    assert_eq!(refused, Err(consensus::WriteError::NotLeader { leader: Some((leader, address)) }));
+    assert_eq!(refused, Err(WriteError::NotLeader { leader: Some((leader, address)) }));
     let large = Note { number: 0, bytes: "x".repeat(2 << 20) };
     let refused = group.place(leader).call(|replica| async move { replica.write(large).await }).await;
-    assert!(matches!(refused, Some(Err(consensus::WriteError::TooLarge { .. }))), "{refused:?}");
+    assert!(matches!(refused, Some(Err(WriteError::TooLarge { .. }))), "{refused:?}");
+}
+
+#[tokio::test]
+async fn writes_go_on_without_the_leader() {
+    let group = Group::started(3, |_| {});
+    let mut acknowledged = vec![group.write().await];
+    for _ in 0..3 {
+        let leader = group.leader().await;
+        group.place(leader).kill();
+        acknowledged.push(group.write().await);
+        group.place(leader).start().expect("it starts again");
+        acknowledged.push(group.write().await);
+    }
+    group.agree(&acknowledged).await;
+}
+
+#[tokio::test]
+async fn nothing_is_acknowledged_without_a_majority() {
+    let group = Group::started(3, |config| config.write_ms = 500);
+    let first = group.write().await;
+    let leader = group.leader().await;
+    for (id, place) in &group.places {
+        if *id != leader {
+            place.kill();
+        }
+    }
+    let lost = group.number();
+    let refused = group.place(leader).write(lost).await.expect("it runs");
+    assert!(matches!(refused, Err(WriteError::Unavailable { .. })), "{refused:?}");
+    let refused = group.place(leader).call(|replica| async move { replica.confirm().await }).await;
+    assert!(matches!(refused, Some(Err(WriteError::Unavailable { .. }))), "{refused:?}");
+    assert!(
+        group.place(leader).book().notes.iter().all(|(_, number)| *number != lost),
+        "applied without a majority"
+    );
+
+    for (id, place) in &group.places {
+        if *id != leader {
+            place.start().expect("it starts again");
+        }
+    }
+    let second = group.write().await;
+    group.agree(&[first, second]).await;
+}
+
+/// Writes that a leader can't finish are bounded, and all of them end.
+#[tokio::test]
+async fn a_leader_alone_takes_few_writes() {
+    let group = Group::started(3, |config| {
+        config.write_ms = 200;
+        config.writes_most = 4;
+    });
+    group.write().await;
+    let leader = group.leader().await;
+    for (id, place) in &group.places {
+        if *id != leader {
+            place.kill();
+        }
+    }
+    let mut late = 0;
+    for number in 100..110 {
+        match group.place(leader).write(number).await.expect("it runs") {
+            Err(WriteError::Unavailable { .. }) => late += 1,
+            Err(WriteError::Busy { most: 4 }) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(late, 4);
+}
+
+#[tokio::test]
+async fn all_come_back_with_what_was_acknowledged() {
+    let group = Group::started(3, |_| {});
+    let mut acknowledged = Vec::new();
+    for _ in 0..3 {
+        for _ in 0..5 {
+            acknowledged.push(group.write().await);
+        }
+        for place in group.places.values() {
+            place.kill();
+        }
+        for place in group.places.values() {
+            place.start().expect("it starts again");
+        }
+    }
+    group.agree(&acknowledged).await;
+}
+
+/// The log behind a snapshot goes, and a replica that was away gets the snapshot, in more than one piece.
+#[tokio::test]
+async fn a_replica_that_was_away_gets_the_snapshot() {
+    let group = Group::started(3, |config| {
+        config.snapshot_after = 20;
+        config.kept = 5;
+    });
+    let mut acknowledged = vec![group.write().await];
+    let leader = group.leader().await;
+    let away = *group.places.keys().find(|id| **id != leader).expect("two others");
+    group.place(away).kill();
+    for _ in 0..100 {
+        acknowledged.push(group.write().await);
+    }
+    let large = Note { number: group.number(), bytes: "x".repeat(900 << 10) };
+    let number = large.number;
+    let leader = group.leader().await;
+    let written = group.place(leader).call(|replica| async move { replica.write(large).await }).await;
+    acknowledged.push((number, written.expect("it runs").expect("it is acknowledged").0));
+    // Entries without bytes would take the large ones out of the state again.
+    group.snapshot_beyond(leader, acknowledged.last().expect("some").1).await;
+    group.place(away).start().expect("it starts again");
+    group.applied(away, acknowledged.last().expect("some").1).await;
+    group.status(away, |status| status.snapshot.is_some()).await;
+    assert_eq!(group.place(away).book().bytes.len(), 900 << 10);
+
+    // What was applied outlives another start of all, from the snapshots and the rest of the logs.
+    for place in group.places.values() {
+        place.kill();
+    }
+    for place in group.places.values() {
+        place.start().expect("it starts again");
+    }
+    group.agree(&acknowledged).await;
+}
+
+/// A history of concurrent writers and readers through kills and restarts: each acknowledged write is there once, in
+/// an order that fits the times, and a confirmed read has all that was acknowledged before it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_history_is_linear() {
+    let group = std::sync::Arc::new(Group::started(3, |config| {
+        config.snapshot_after = 50;
+        config.kept = 10;
+        config.write_ms = 1000;
+    }));
+    group.write().await;
+    let clock = std::time::Instant::now();
+    let end = clock + std::time::Duration::from_secs(6);
+    let writers = (0..6).map(|_| {
+        let group = std::sync::Arc::clone(&group);
+        tokio::spawn(async move {
+            let mut done = Vec::new();
+            while std::time::Instant::now() < end {
+                let begun = clock.elapsed();
+                let (number, version) = group.write().await;
+                done.push((begun, clock.elapsed(), number, version));
+            }
+            done
+        })
+    });
+    let readers = (0..2).map(|_| {
+        let group = std::sync::Arc::clone(&group);
+        tokio::spawn(async move {
+            let mut seen = Vec::new();
+            while std::time::Instant::now() < end {
+                for place in group.places.values() {
+                    let begun = clock.elapsed();
+                    let read = place
+                        .call(|replica| async move {
+                            replica.confirm().await.map(|()| replica.read(|_, version| version))
+                        })
+                        .await;
+                    if let Some(Ok(version)) = read {
+                        seen.push((begun, clock.elapsed(), version));
+                    }
+                }
+                tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+            }
+            seen
+        })
+    });
+    let (writers, readers): (Vec<_>, Vec<_>) = (writers.collect(), readers.collect());
+    for round in 0..4u64 {
+        let leader = group.leader().await;
+        let which = if round % 2 == 0 { leader } else { leader % 3 + 1 };
+        let killed = std::sync::Arc::clone(&group);
+        tokio::task::spawn_blocking(move || killed.place(which).kill()).await.expect("it ends");
+        group.write().await;
+        group.place(which).start().expect("it starts again");
+        group.write().await;
+    }
+    let (mut writes, mut reads) = (Vec::new(), Vec::new());
+    for writer in writers {
+        writes.extend(writer.await.expect("no writer panics"));
+    }
+    for reader in readers {
+        reads.extend(reader.await.expect("no reader panics"));
+    }
+    assert!(writes.len() > 50 && reads.len() > 50, "{} writes, {} reads", writes.len(), reads.len());
+    for (_, done, _, version) in &writes {
+        let later = writes.iter().filter(|(begun, ..)| begun > done).map(|(.., version)| version);
+        assert!(later.min().is_none_or(|later| later > version), "a later write came before {version}");
+        let read = reads.iter().filter(|(begun, ..)| begun > done).map(|(.., version)| version).min();
+        assert!(read.is_none_or(|read| read >= version), "a confirmed read missed {version}");
+    }
+    let acknowledged: Vec<_> = writes.iter().map(|(_, _, number, version)| (*number, *version)).collect();
+    group.agree(&acknowledged).await;
 }
--- /dev/null
+++ b/crates/consensus/tests/still.rs
@@ -0,0 +1,65 @@
+//! A leader that stood still (stopped as by a signal, or its machine asleep) and goes on later.
+
+mod support;
+
+use std::time::Duration;
+
+use consensus::WriteError;
+use support::{Group, Note};
+
+/// It confirms nothing and acknowledges nothing of what it thought to lead, and what was asked of it before and during
+/// its sleep ends with an error.
+#[tokio::test]
+async fn a_leader_that_stood_still_confirms_nothing() {
+    let group = Group::started(3, |_| {});
+    let mut acknowledged = vec![group.write().await];
+    let old = group.leader().await;
+    let place = group.place(old);
+    let replica = place.replica().expect("it runs");
+
+    place.freeze(Duration::from_secs(3));
+    // These wait in its queues; the ones in its listen queue come after them.
+    let confirm = tokio::spawn({
+        let replica = replica.clone();
+        async move { replica.confirm().await }
+    });
+    let number = group.number();
+    let write = tokio::spawn({
+        let replica = replica.clone();
+        async move { replica.write(Note { number, bytes: String::new() }).await }
+    });
+    let others: Vec<u64> = group.places.keys().copied().filter(|id| *id != old).collect();
+    let next = loop {
+        let mut found = None;
+        for id in &others {
+            if group.place(*id).call(|replica| async move { replica.confirm().await }).await == Some(Ok(())) {
+                found = Some(*id);
+            }
+        }
+        match found {
+            Some(id) => break id,
+            None => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    };
+    assert!(replica.leading().borrow().me, "it does not know yet, or the test shows nothing");
+    let newer = group.number();
+    let (version, _) = group.place(next).write(newer).await.expect("it runs").expect("it leads");
+    acknowledged.push((newer, version));
+
+    let confirmed = confirm.await.expect("no panic");
+    assert!(confirmed.is_err(), "a leader of the past confirmed");
+    let written = write.await.expect("no panic");
+    assert!(
+        matches!(written, Err(WriteError::Unavailable { .. } | WriteError::NotLeader { .. })),
+        "{written:?}"
+    );
+    let mut leading = replica.leading();
+    let knows =
+        tokio::time::timeout(support::PATIENCE, leading.wait_for(|leading| !leading.me)).await.is_ok();
+    assert!(knows, "it still thinks that it leads");
+    group.agree(&acknowledged).await;
+    assert!(
+        place.book().notes.iter().all(|(_, applied)| *applied != number),
+        "a superseded write was applied"
+    );
+}
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use consensus::{ConsensusError, Machine, Replica, ReplicaConfig, WriteError};
+use consensus::{ConsensusError, Machine, Replica, ReplicaConfig, Status, WriteError};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -282,7 +282,35 @@
         let mut applied = replica.applied();
         let reached = tokio::time::timeout(PATIENCE, applied.wait_for(|applied| *applied >= version)).await;
         if reached.is_err() {
-            panic!("replica {id} has not applied {version}: {:?}", replica.status());
+            let all: Vec<_> =
+                self.places.values().filter_map(Place::replica).map(|replica| replica.status()).collect();
+            panic!("replica {id} has not applied {version}: {all:#?}");
+        }
+    }
+
+    /// Waits until the replica's status is as `wanted`.
+    pub async fn status(&self, id: u64, wanted: impl Fn(&Status) -> bool) -> Status {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let status = self.place(id).replica().expect("it runs").status();
+            if wanted(&status) {
+                return status;
+            }
+            assert!(Instant::now() < end, "{status:?}");
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    /// Waits until the replica has a snapshot at `version` or later, and has let the log before it go; writes meanwhile
+    /// keep the state's size.
+    pub async fn snapshot_beyond(&self, id: u64, version: u64) {
+        let end = Instant::now() + PATIENCE;
+        let replica = self.place(id).replica().expect("it runs");
+        while replica.status().snapshot.is_none_or(|snapshot| snapshot < version) {
+            let bytes = self.place(id).book().bytes;
+            let note = Note { number: self.number(), bytes };
+            let _ = self.place(id).call(|replica| async move { replica.write(note).await }).await;
+            assert!(Instant::now() < end, "no snapshot: {:?}", replica.status());
         }
     }
 
