--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -322,6 +322,16 @@
         assert_eq!(config.terms.unreachable, Unreachable::Abort);
     }
 
+    #[test]
+    fn the_documented_sample_is_taken_and_has_the_defaults() {
+        let text = include_str!("../../../docs/ON-CALL.md");
+        let sample = text.lines().skip_while(|line| !line.starts_with("    cluster = "));
+        let sample: Vec<&str> = sample.take_while(|line| !line.is_empty()).collect();
+        let config = Config::parse(Path::new("docs"), &sample.join("\n")).expect("is good");
+        assert_eq!((config.terms, config.election), (Terms::default(), Election::default()));
+        assert_eq!(config.limits, Limits::default());
+    }
+
     #[test]
     fn each_fault_is_named_by_its_path() {
         for (from, to, says) in [
