--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -9,8 +9,8 @@
 
 use redb::backends::FileBackend;
 use redb::{
-    Builder, Database, ReadTransaction, ReadableDatabase, ReadableTable, ReadableTableMetadata,
-    StorageBackend, TableDefinition, WriteTransaction,
+    Builder, Database, ReadTransaction, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition,
+    WriteTransaction,
 };
 
 use crate::{frame, StoreError, SCHEMA, SNAPSHOT_MOST, VALUE_MOST};
@@ -151,7 +151,8 @@
         Self::open_shared(place, Shared(Arc::new(file)), owner, Some(lock))
     }
 
-    /// Opens the disk on a storage of the caller's, such as a faulty one.
+    /// Opens the disk on a storage of the caller's, such as [`crate::faults::Disk`]. One that begins
+    /// with zeros is made a new one: only beside a real file is it known whether there was one before.
     ///
     /// # Errors
     /// As [`Store::open`], without [`StoreError::Busy`].
@@ -166,7 +167,7 @@
         lock: Option<File>,
     ) -> Result<Self, StoreError> {
         let inner = Inner { place, owner: owner.clone(), file, open: RwLock::new(None), lock };
-        inner.write(|_| Ok(()))?;
+        inner.reopen()?;
         Ok(Self(Arc::new(inner)))
     }
 
@@ -393,6 +394,32 @@
 }
 
 impl On<'_, ReadTransaction> {
+    /// Whether the tables of a disk are there, and this owner's.
+    fn claimed(&self, owner: &Owner) -> Result<bool, Failed> {
+        if self.transaction.list_tables()?.next().is_none() {
+            return Ok(false);
+        }
+        let about = self.transaction.open_table(ABOUT)?;
+        let row = |name: &str| -> Result<Vec<u8>, Failed> {
+            let row = about.get(name)?;
+            let bytes = row.as_ref().and_then(|row| frame::unpack(name.as_bytes(), row.value()));
+            bytes.map(<[u8]>::to_vec).ok_or_else(|| self.damaged(format!("its {name}")))
+        };
+        let place = self.place.to_owned();
+        let schema = self.number(ABOUT_SCHEMA, &row(ABOUT_SCHEMA)?)?;
+        if schema > SCHEMA {
+            return Err(Failed::Call(StoreError::Newer { place, found: schema, known: SCHEMA }));
+        }
+        let found = Owner {
+            cluster: String::from_utf8_lossy(&row(ABOUT_CLUSTER)?).into_owned(),
+            replica: self.number(ABOUT_REPLICA, &row(ABOUT_REPLICA)?)?,
+        };
+        if found != *owner {
+            return Err(Failed::Call(StoreError::Owner { place, found, wanted: owner.clone() }));
+        }
+        Ok(true)
+    }
+
     fn start(&self) -> Result<Option<u64>, Failed> {
         let about = self.transaction.open_table(ABOUT)?;
         let row = about.get(ABOUT_START)?;
@@ -430,42 +457,19 @@
         }
     }
 
-    /// Makes the tables of a new disk, or looks whose an old one is.
-    fn claim(&self, owner: &Owner, new: bool) -> Result<(), Failed> {
+    /// Makes the tables of a new disk.
+    fn claim(&self, owner: &Owner) -> Result<(), Failed> {
         let mut about = self.transaction.open_table(ABOUT)?;
-        let row = |name: &str| -> Result<Vec<u8>, Failed> {
-            let row = about.get(name)?;
-            let bytes = row.as_ref().and_then(|row| frame::unpack(name.as_bytes(), row.value()));
-            bytes.map(<[u8]>::to_vec).ok_or_else(|| self.damaged(format!("its {name}")))
-        };
-        if about.is_empty()? {
-            if !new {
-                return Err(self.damaged("what was in it is gone".into()));
-            }
-            for (name, bytes) in [
-                (ABOUT_SCHEMA, &SCHEMA.to_le_bytes()[..]),
-                (ABOUT_CLUSTER, owner.cluster.as_bytes()),
-                (ABOUT_REPLICA, &owner.replica.to_le_bytes()),
-            ] {
-                about.insert(name, frame::pack(name.as_bytes(), bytes).as_slice())?;
-            }
-            self.transaction.open_table(LOG)?;
-            self.transaction.open_table(RECORDS)?;
-            self.transaction.open_table(SNAPSHOT)?;
-            return Ok(());
-        }
-        let place = self.place.to_owned();
-        let schema = self.number(ABOUT_SCHEMA, &row(ABOUT_SCHEMA)?)?;
-        if schema > SCHEMA {
-            return Err(Failed::Call(StoreError::Newer { place, found: schema, known: SCHEMA }));
-        }
-        let found = Owner {
-            cluster: String::from_utf8_lossy(&row(ABOUT_CLUSTER)?).into_owned(),
-            replica: self.number(ABOUT_REPLICA, &row(ABOUT_REPLICA)?)?,
-        };
-        if found != *owner {
-            return Err(Failed::Call(StoreError::Owner { place, found, wanted: owner.clone() }));
+        for (name, bytes) in [
+            (ABOUT_SCHEMA, &SCHEMA.to_le_bytes()[..]),
+            (ABOUT_CLUSTER, owner.cluster.as_bytes()),
+            (ABOUT_REPLICA, &owner.replica.to_le_bytes()),
+        ] {
+            about.insert(name, frame::pack(name.as_bytes(), bytes).as_slice())?;
         }
+        self.transaction.open_table(LOG)?;
+        self.transaction.open_table(RECORDS)?;
+        self.transaction.open_table(SNAPSHOT)?;
         Ok(())
     }
 }
@@ -529,6 +533,16 @@
         self.lock.as_ref().map_or(Ok(true), |lock| Ok(lock.metadata()?.len() == 0))
     }
 
+    /// Whether making the database was cut short: the library writes a file's first bytes when all else is synced.
+    fn is_unmade(&self) -> io::Result<bool> {
+        let mut start = [0; 9];
+        if self.file.len()? < start.len() as u64 {
+            return Ok(true);
+        }
+        self.file.read(0, &mut start)?;
+        Ok(start == [0; 9])
+    }
+
     fn mark_made(&self) -> io::Result<()> {
         let Some(mut lock) = self.lock.as_ref() else { return Ok(()) };
         writeln!(lock, "replica {} of cluster {:?}", self.owner.replica, self.owner.cluster)?;
@@ -547,16 +561,27 @@
             return Ok(());
         }
         let opened = guarded(|| -> Result<Database, Failed> {
+            let place = self.place.as_str();
+            let io = |source| Failed::Call(io_error(place, source));
+            let new = self.is_new().map_err(io)?;
+            if new && self.is_unmade().map_err(io)? {
+                self.file.set_len(0).map_err(io)?;
+            }
             let database = Builder::new()
                 .set_cache_size(CACHE)
                 .set_check_integrity_on_open(true)
                 .create_with_backend(self.file.clone())?;
-            let disk = On { transaction: two_phased(&database)?, place: &self.place };
-            let new = self.is_new().map_err(|source| Failed::Call(io_error(&self.place, source)))?;
-            disk.claim(&self.owner, new)?;
-            disk.transaction.commit()?;
+            let disk = On { transaction: database.begin_read()?, place };
+            if !disk.claimed(&self.owner)? {
+                if !new {
+                    return Err(disk.damaged("what was in it is gone".into()));
+                }
+                let disk = On { transaction: two_phased(&database)?, place };
+                disk.claim(&self.owner)?;
+                disk.transaction.commit()?;
+            }
             if new {
-                self.mark_made().map_err(|source| Failed::Call(io_error(&self.place, source)))?;
+                self.mark_made().map_err(io)?;
             }
             Ok(database)
         });
@@ -615,3 +640,25 @@
         _ => StoreError::Io { place, source },
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::faults::Disk;
+
+    #[test]
+    fn a_later_schema_is_refused() {
+        let disk = Disk::new();
+        let owner = Owner { cluster: "north".to_owned(), replica: 1 };
+        let store = Store::open_on(disk.clone(), &owner).expect("a new disk");
+        let later = frame::pack(ABOUT_SCHEMA.as_bytes(), &(SCHEMA + 1).to_le_bytes());
+        let written = store.0.write(|disk| {
+            disk.transaction.open_table(ABOUT)?.insert(ABOUT_SCHEMA, later.as_slice())?;
+            Ok(())
+        });
+        written.expect("written");
+        drop(store);
+        let refused = Store::open_on(disk, &owner).expect_err("this program can't know it");
+        assert!(matches!(refused, StoreError::Newer { found: 2, known: 1, .. }), "{refused}");
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,6 +12,9 @@
 //! - Each opening reads the whole file and checks each page, as without that the library trusts a file that was closed
 //!   in good order and may panic on a damaged one. The file is small: the log is purged behind the snapshot.
 //!
+//! One bit stays that can hide the last commit: the library's mark of which root is the newer one, changed on a disk
+//! that was not closed in good order. The same bytes stand there in the midst of a commit.
+//!
 //! Rejected: files of our own with a log format of our own, which would have to earn by years of faults the trust
 //! that the library has; and the snapshot as one value, which would need megabytes of pages in one row.
 
