--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -28,8 +28,9 @@
     pub peers: BTreeMap<u64, SocketAddr>,
     /// The time between a leader's heartbeats, and the bound of each message to a replica.
     pub heartbeat_ms: u64,
-    /// Each replica draws from this span how long it waits for a leader's heartbeat before it wants to lead. The
-    /// upper end is also how long it refuses other candidates after a heartbeat.
+    /// A replica refuses candidates for the upper end of this span after a leader's heartbeat, and wants to lead itself
+    /// after that and a time that it draws from the span at its start. So writes stop for up to twice the upper end and
+    /// two heartbeats when a leader is lost.
     pub election_ms: (u64, u64),
     /// The most time that a write waits for its majority.
     pub write_ms: u64,
