Write for the leader of a term in that term alone; test stops, lost majorities, slow readers

Cause: the word of who leads comes by way of a task; a replica that was deposed and has come back could write in its next term what it decided in the last. The core's own state is asked right before each write of the leader. Tests: a stop answers an operator who waits with the change's number; the last replica ends its watches and says so; a watcher that reads nothing is cut off.

--- a/crates/control/src/edge/actor.rs
+++ b/crates/control/src/edge/actor.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use consensus::{Leading, Replica};
+use consensus::{Leading, Replica, WriteError};
 use member::{Answer, Beat, Epoch, Millis, Process, Word};
 use serde::Serialize;
 use tokio::net::TcpStream;
@@ -264,15 +264,20 @@
             Effect::Answer { token, answer } => self.answer(token, Ok(*answer)),
             Effect::Refuse { token, why } => self.answer(token, Err(why)),
             Effect::Write(command) => {
+                let term = self.number;
                 self.tasks.spawn(async move {
-                    let outcome = match replica.write(command.clone()).await {
-                        Ok((_, outcome)) => Some(outcome),
-                        Err(error) => {
-                            tracing::debug!(%error, ?command, "a write of the leader failed");
-                            None
-                        }
+                    // The word of who leads comes by way of a task; this is the core's own. A replica that was deposed
+                    // and has come back would write under its next term what it decided in the last.
+                    let status = replica.status();
+                    let outcome = if (status.role.as_str(), status.term) == ("leader", term) {
+                        replica.write(command.clone()).await.map(|(_, outcome)| outcome)
+                    } else {
+                        Err(WriteError::NotLeader { leader: None })
                     };
-                    Input::Written { command, outcome }
+                    if let Err(error) = &outcome {
+                        tracing::debug!(%error, ?command, "a write of the leader failed");
+                    }
+                    Input::Written { command, outcome: outcome.ok() }
                 });
             }
             Effect::Confirm => {
--- a/crates/control/tests/edge.rs
+++ b/crates/control/tests/edge.rs
@@ -156,7 +156,7 @@
     let mut node = Node::start(&group, "a", None).await;
     assert_outcome(&group.propose(0, POLICY).await, StatusCode::OK, "committed");
     let leader = group.leader().await;
-    let first = *group.addresses.iter().find(|(_, at)| **at == leader).expect("one of them").0;
+    let first = group.id_of(leader);
     let mut watch = open(leader, "GET", "/v1/watch", "").await.expect("it answers").into_body();
     line(&mut watch).await;
     group.stop(first).await;
@@ -178,6 +178,67 @@
     node.until(|epoch| epoch == 3).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_answers_whoever_waits_and_the_last_replica_says_that_it_is_alone() {
+    let mut group = Group::start(TERMS, "").await;
+    let silent = Node::start(&group, "silent", None).await;
+    silent.silence();
+    let leader = group.leader().await;
+    let first = group.id_of(leader);
+    let proposal = format!("{{\"base\":0,\"policy\":{POLICY}}}");
+    let waits = tokio::spawn(async move { call(leader, "PUT", "/v1/policy", &proposal).await });
+    let end = Instant::now() + PATIENCE;
+    while call(leader, "GET", "/v1/policy", "").await.body["change"].is_null() {
+        assert!(Instant::now() < end, "the change is under way");
+        sleep(Duration::from_millis(10)).await;
+    }
+    group.stop(first).await;
+    let told = waits.await.expect("it is answered");
+    assert_eq!(told.status, StatusCode::SERVICE_UNAVAILABLE, "{told:?}");
+    assert!(told.body["change"].is_u64(), "{told:?}");
+
+    let at = group.leader().await;
+    let mut watch = open(at, "GET", "/v1/watch", "").await.expect("it answers").into_body();
+    line(&mut watch).await;
+    let other = group.addresses.keys().copied().find(|id| *id != first && *id != group.id_of(at));
+    group.stop(other.expect("the third")).await;
+    while let Some(Ok(_)) = timeout(PATIENCE, watch.frame()).await.expect("who is alone ends watches") {}
+    for (method, path) in [("GET", "/v1/watch"), ("DELETE", "/v1/nodes/silent")] {
+        let told = call(at, method, path, "").await;
+        assert_eq!(told.status, StatusCode::SERVICE_UNAVAILABLE, "{told:?}");
+    }
+    assert_eq!(call(at, "GET", "/v1/status", "").await.body["in_touch"], false);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_watcher_that_does_not_read_is_cut_off() {
+    let group = Group::start(TERMS, "").await;
+    let leader = group.leader().await;
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("is possible");
+    let mut stream = socket.connect(leader).await.expect("it listens");
+    stream.write_all(b"GET /v1/watch HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("it is taken");
+    let end = Instant::now() + PATIENCE;
+    let mut begun = false;
+    let mut base = 0;
+    loop {
+        let watchers =
+            call(leader, "GET", "/v1/status", "").await.body["watchers"].as_u64().expect("a count");
+        match (begun, watchers) {
+            (true, 0) => break,
+            (false, 0) => {}
+            _ => {
+                begun = true;
+                let policy = format!("{{\"ServerBans\":[{:?}]}}", "x".repeat(60_000));
+                assert_outcome(&group.propose(base, &policy).await, StatusCode::OK, "committed");
+                base += 1;
+            }
+        }
+        assert!(Instant::now() < end, "it is cut off");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn what_is_wrong_is_refused_with_advice() {
     let group = Group::start(TERMS, "").await;
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Who is there.
+    pub fn id_of(&self, address: SocketAddr) -> u64 {
+        *self.addresses.iter().find(|(_, at)| **at == address).expect("one of them").0
+    }
+
     /// Calls the leader, whoever that has become meanwhile.
     pub async fn call(&self, method: &str, path: &str, body: &str) -> Told {
         let end = Instant::now() + PATIENCE;
