Let the node follow the list by the follower, its calls the thin edge round it

The node's calls to the list timed themselves, and an older list was taken for news. The follower is now the node's second pure module: it owns versions, waits and what is believed; a call is a task that tells each step. A first line also settles the module where lists are asked for: until now a watch without news counted as unanswered and was made anew after AskWithin (10 s). A process that stood still reads what has come before it judges silence. The state line tells the list's version and age.

cargo test -p tulipmount: all pass as they were.

--- a/crates/endpoints/src/follower.rs
+++ b/crates/endpoints/src/follower.rs
@@ -170,6 +170,8 @@
     moved: bool,
     /// When calls that fail may be told again.
     tell: Ms,
+    /// When a line last came.
+    heard: Option<Ms>,
     actions: Vec<Action>,
 }
 
@@ -185,6 +187,7 @@
             whole: false,
             moved: false,
             tell: 0,
+            heard: None,
             actions: Vec::new(),
         }
     }
@@ -199,6 +202,11 @@
         self.book.version()
     }
 
+    /// When the service last said something, if it ever did.
+    pub fn heard(&self) -> Option<Ms> {
+        self.heard
+    }
+
     /// When time alone next calls for something.
     pub fn next(&self) -> Option<Ms> {
         let due = self.calls.iter().map(|c| c.due(self.mode).0);
@@ -317,6 +325,7 @@
     }
 
     fn line(&mut self, now: Ms, id: CallId, line: &[u8]) {
+        self.heard = Some(now);
         let Some(call) = self.call(id) else { return };
         call.stage = Stage::Open { byte: now + SILENCE, line: now + LINE };
         call.silent = now;
@@ -349,7 +358,7 @@
             Ok(update) => {
                 self.calls.remove(place);
                 (self.whole, self.moved) = (false, false);
-                self.again = Some(now);
+                (self.again, self.heard) = (Some(now), Some(now));
                 self.take(now, id, update);
             }
             Err(error) => self.fail(now, id, error.into()),
--- a/src/net/hands.rs
+++ b/src/net/hands.rs
@@ -2,8 +2,9 @@
 
 use std::rc::Rc;
 
+use endpoints::CallId;
 use tokio::task::{spawn_local, AbortHandle};
-use tulipmount::{Discovery, ServerId};
+use tulipmount::ServerId;
 
 use super::node::{Hands, Node};
 use super::request::{Asked, To};
@@ -21,11 +22,7 @@
         spawn_local(servers::probe(node, server));
     }
 
-    fn follow(&self, node: Rc<Node>) -> AbortHandle {
-        let call = match node.config.told.settings.discovery {
-            Discovery::Pushed => spawn_local(discovery::keep(node)),
-            Discovery::Asked => spawn_local(discovery::follow(node)),
-        };
-        call.abort_handle()
+    fn call(&self, node: Rc<Node>, id: CallId, path: String) -> AbortHandle {
+        spawn_local(discovery::call(node, id, path)).abort_handle()
     }
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,13 +1,13 @@
 //! The owner of the decision module: events in, actions out, the table of requests, the clock and the timer.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use endpoints::{Health, Update};
+use endpoints::{Action as Do, CallId, Follower, Health, Mode, Ms, Update};
 use hyper::StatusCode;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
@@ -33,6 +33,8 @@
 /// Descriptors that no client or server may take, where there are enough: for the standard streams, the runtime,
 /// the listeners, discovery and operators' callers.
 const ASIDE: usize = 24;
+/// Turns of the runtime that what has come needs to be read: its connection, and the call on it.
+const READ_FIRST: usize = 3;
 /// How often it is looked whether the node can serve.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -55,8 +57,8 @@
     fn attempt(&self, node: Rc<Node>, to: To, asked: Rc<Asked>) -> AbortHandle;
     /// One probe of a server.
     fn probe(&self, node: Rc<Node>, server: ServerId);
-    /// Follows discovery: for one call where the module asks, for good where changes come unprompted.
-    fn follow(&self, node: Rc<Node>) -> AbortHandle;
+    /// Asks discovery for a path; each step is told to the node's [`Node::discover`].
+    fn call(&self, node: Rc<Node>, id: CallId, path: String) -> AbortHandle;
 }
 
 /// Monotonic time for the module, and its relation to Unix time at the start.
@@ -71,6 +73,11 @@
         Self { start: Instant::now(), unix_start: unix.as_secs_f64() * 1000.0 }
     }
 
+    /// Whole milliseconds from the start until now.
+    fn ms(&self) -> Ms {
+        self.start.elapsed().as_millis() as Ms
+    }
+
     fn at(&self, instant: Instant) -> Millis {
         instant.saturating_duration_since(self.start).as_secs_f64() * 1000.0
     }
@@ -115,10 +122,9 @@
     timer: Option<Instant>,
     hosts: HashMap<ServerId, Host>,
     bans: Bans,
-    /// The version of the list; `None` asks for the whole.
-    version: Option<u64>,
-    /// The call to discovery that is out.
-    call: Option<AbortHandle>,
+    follower: Follower,
+    /// The calls to discovery that are out.
+    calls: BTreeMap<CallId, AbortHandle>,
 }
 
 impl State {
@@ -162,6 +168,10 @@
     pub fn new(mut config: Config, hands: Box<dyn Hands>) -> Result<Rc<Self>, SettingsError> {
         let balancer = Balancer::new(config.told.settings.clone(), config.seed)?;
         let known = config.known.take();
+        let mode = match config.told.settings.discovery {
+            Discovery::Pushed => Mode::Pushed,
+            Discovery::Asked => Mode::Asked,
+        };
         let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
         let cold = span(config.told.settings.rules.warm_within);
         let state = State {
@@ -173,8 +183,8 @@
             timer: None,
             hosts: HashMap::new(),
             bans: Bans::new(folder, &config.name, cold),
-            version: None,
-            call: None,
+            follower: Follower::new(mode, known.as_ref(), 0),
+            calls: BTreeMap::new(),
         };
         let node = Rc::new(Self {
             pool: Pool::new(&config),
@@ -193,25 +203,36 @@
         node.take_list(saved, true);
         node.look_at_bans();
         node.share_memory();
-        if node.config.told.settings.discovery == Discovery::Pushed {
-            node.subscribe();
-        }
+        node.discover(endpoints::Event::Tick);
         Ok(node)
     }
 
-    /// Runs the module's timer; never ends.
+    /// Runs the timers of the module and of the list's follower; never ends.
     pub async fn run_timer(self: Rc<Self>) {
         loop {
-            let due = self.state.borrow().timer;
-            match due {
-                None => self.rearmed.notified().await,
-                Some(at) => tokio::select! {
-                    () = tokio::time::sleep_until(at.into()) => {
-                        self.state.borrow_mut().timer = None;
-                        self.feed(Event::Timer);
-                    }
-                    () = self.rearmed.notified() => {}
-                },
+            let (module, list) = {
+                let state = self.state.borrow();
+                let list = state.follower.next().map(|at| self.clock.start + Duration::from_millis(at));
+                (state.timer, list)
+            };
+            let Some(due) = module.into_iter().chain(list).min() else {
+                self.rearmed.notified().await;
+                continue;
+            };
+            tokio::select! {
+                () = tokio::time::sleep_until(due.into()) => {}
+                () = self.rearmed.notified() => continue,
+            }
+            if module.is_some_and(|at| at <= due) {
+                self.state.borrow_mut().timer = None;
+                self.feed(Event::Timer);
+            }
+            if list.is_some_and(|at| at <= due) {
+                // A process that stood still first reads what has come meanwhile: nobody was silent.
+                for _ in 0..READ_FIRST {
+                    tokio::task::yield_now().await;
+                }
+                self.discover(endpoints::Event::Tick);
             }
         }
     }
@@ -363,7 +384,12 @@
     /// What it holds, for the log.
     pub fn status(&self) -> String {
         let (connections, state) = (self.pool.held(), self.state.borrow());
-        format!("{} requests, {connections} to servers, {}", state.requests.len(), state.balancer.status())
+        let version = state.follower.version();
+        let heard = state.follower.heard().map_or("never heard".into(), |at| {
+            format!("heard {:.1} s ago", self.clock.ms().saturating_sub(at) as f64 / 1000.0)
+        });
+        let (requests, module) = (state.requests.len(), state.balancer.status());
+        format!("{requests} requests, {connections} to servers, list {version} {heard}, {module}")
     }
 
     /// The figures.
@@ -455,7 +481,7 @@
             Action::Refuse { id, stay_away } => self.answer(id, Answer::Refused(stay_away)),
             Action::Fail(id) => self.answer(id, Answer::Failed),
             Action::SetTimer(after) => self.set_timer(after),
-            Action::Subscribe => self.subscribe(),
+            Action::Subscribe => self.discover(endpoints::Event::Ask),
             Action::Probe(server) => self.hands.probe(self.clone(), server),
         }
     }
@@ -507,12 +533,44 @@
 
     // ---- The list ----
 
-    /// Begins to follow discovery.
-    fn subscribe(self: &Rc<Self>) {
-        let call = self.hands.follow(self.clone());
-        // One call at a time: what the module no longer waits for is only load on the service.
-        if let Some(old) = self.state.borrow_mut().call.replace(call) {
-            old.abort();
+    /// Tells the follower of the list what happened, and does what it says.
+    pub fn discover(self: &Rc<Self>, event: endpoints::Event<'_>) {
+        let actions = {
+            let state = &mut *self.state.borrow_mut();
+            if let endpoints::Event::Ended(id) | endpoints::Event::Broke(id, _) = event {
+                state.calls.remove(&id);
+            }
+            let due = state.follower.next();
+            let actions = state.follower.handle(self.clock.ms(), event);
+            if state.follower.next().is_some_and(|at| due.is_none_or(|due| at < due)) {
+                self.rearmed.notify_one();
+            }
+            actions
+        };
+        for action in actions {
+            match action {
+                Do::Call(id, path) => {
+                    let call = self.hands.call(self.clone(), id, path);
+                    self.state.borrow_mut().calls.insert(id, call);
+                }
+                Do::Drop(id) => {
+                    if let Some(call) = self.state.borrow_mut().calls.remove(&id) {
+                        call.abort();
+                    }
+                }
+                Do::Take(update) => {
+                    self.informed.set(true);
+                    self.take_list(update, false);
+                }
+                Do::Alive => {
+                    self.informed.set(true);
+                    self.feed(Event::ListChange(Vec::new()));
+                }
+                Do::Failed(why) => {
+                    log::trouble(|| format!("discovery: {why}"));
+                    self.feed(Event::ListFailed);
+                }
+            }
         }
     }
 
@@ -520,38 +578,10 @@
     pub fn move_discovery(self: &Rc<Self>, to: SocketAddr) {
         if self.discovery.replace(to) != to {
             log::line(format!("discovery: moved to {to}"));
-            self.subscribe();
+            self.discover(endpoints::Event::Moved);
         }
     }
 
-    /// The version to watch from; `None` where the whole list is needed first.
-    pub fn version(&self) -> Option<u64> {
-        self.state.borrow().version
-    }
-
-    /// What was read last can't be trusted to follow on what the node has.
-    pub fn forget_version(&self) {
-        self.state.borrow_mut().version = None;
-    }
-
-    /// The call to discovery failed, or its watch ended.
-    pub fn discovery_failed(self: &Rc<Self>) {
-        self.feed(Event::ListFailed);
-    }
-
-    /// The watch stands, with no news.
-    pub fn discovery_alive(self: &Rc<Self>) {
-        if !self.informed.replace(true) {
-            self.feed(Event::ListChange(Vec::new()));
-        }
-    }
-
-    /// Discovery has brought a list, or changes.
-    pub fn listed(self: &Rc<Self>, update: Update) {
-        self.informed.set(true);
-        self.take_list(update, false);
-    }
-
     fn take_list(self: &Rc<Self>, update: Update, saved: bool) {
         let entries = {
             let mut state = self.state.borrow_mut();
@@ -561,7 +591,6 @@
                     host.state = Listed::Gone;
                 }
             }
-            state.version = Some(update.version);
             let entries = update.hosts.into_iter().filter_map(|h| self.enter(&mut state.hosts, h)).collect();
             for (server, host) in state.hosts.iter().filter(|(_, h)| h.state == Listed::Gone) {
                 let _ = host;
