Have the lab's agent lose no line that follows on another

The agent took the watches out of their table while it told the world of a line; what followed from that could be the next line, which then found no watch (tell in live/agent.rs). The line is now written to all watches first.

--- a/crates/lab/src/live/agent.rs
+++ b/crates/lab/src/live/agent.rs
@@ -114,11 +114,18 @@
     }
 }
 
-/// A node's agent has a line: its watches bring it.
+/// A node's agent has a line: its watches bring it. What follows from that may be the next line, so no watch may be
+/// away meanwhile.
 pub fn tell(stage: &Rc<Stage>, node: usize, from: u64, to: u64) {
-    let mut watches = std::mem::take(&mut *stage.agents[node].watches.borrow_mut());
-    watches.retain_mut(|watch| watch.tell(stage, node, from, to));
-    stage.agents[node].watches.borrow_mut().append(&mut watches);
+    let line = line(stage, node, from, to);
+    let told = {
+        let mut watches = stage.agents[node].watches.borrow_mut();
+        watches.retain_mut(|watch| watch.lines.try_send(Frame::data(line.clone())).is_ok());
+        !watches.is_empty()
+    };
+    if told {
+        stage.with(|world, now| world.told(now, node, to));
+    }
 }
 
 /// A node's watches end.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -346,6 +346,27 @@
     }
 }
 
+/// A list that falls behind what it told before brings no server back that was told to drain; that one drains, and
+/// news, still count.
+#[test]
+fn an_older_list_brings_no_drained_server_back() {
+    let [a, b, c] = ["a", "b", "c"].map(Peer::good);
+    let [s0, s1, s2] =
+        [("s0", &a), ("s1", &b), ("s2", &c)].map(|(name, p)| host(name, p.address, "active", 1));
+    let registry = Registry::new(&[s0.clone(), s1.clone()]);
+    let node = Node::ready(&config(registry.address));
+    let mut client = Client::to(&node);
+    let mut ask = || client.ask(&request("look", "t1", 4_000)).body;
+    let leaving = |name: &str, p: &Peer| host(name, p.address, "leaving", 1);
+    registry.tell(5, &[leaving("s0", &a), s1], &[leaving("s0", &a)]);
+    until("the drain counts", || (0..4).all(|_| ask() == b"b"));
+    registry.say(&line(3, true, &[s0, leaving("s1", &b)]));
+    until("the older list counts", || ask() != b"b");
+    assert_ne!(ask(), b"a");
+    registry.say(&line(6, false, &[s2]));
+    until("the news count", || ask() == b"c");
+}
+
 /// A line that can't be read is dropped, and the whole list asked for.
 #[test]
 fn a_bad_line_makes_the_node_ask_for_the_whole_list() {
