Let a node's policy change in service: Event::Policy and wire::with_policy

Need: one policy for the whole fleet has to come into force at nodes that are serving. Change: a request keeps the settings that it came under, from admission to answer; retries, ejection and weights of single servers are settings; what may not change is refused by name. A factor to a server's size moves its turns, not the budget of a cold one. Rejected: the figures of a class copied into each request, as attempts, advice and worth go by them too.

--- a/src/api.rs
+++ b/src/api.rs
@@ -1,5 +1,6 @@
 //! The interface of the decision module: settings, events, actions. Times are in milliseconds.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 /// A time or a span, in milliseconds; the clock may start anywhere but never runs backwards.
@@ -63,7 +64,7 @@
 }
 
 /// How much each part of the service counts for the operators.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Goal {
     /// The worth served, over all and in the worst stretch.
     pub worth: f64,
@@ -90,8 +91,39 @@
     pub max_retry_after: Millis,
 }
 
+/// How much may be tried again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Retry {
+    /// Further attempts that may have cost work, as a part of the first ones.
+    pub share: f64,
+    /// The most of them that may be saved up.
+    pub most: f64,
+}
+
+impl Default for Retry {
+    fn default() -> Self {
+        Self { share: 0.1, most: 10.0 }
+    }
+}
+
+/// When a server is left out because of what was seen of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ejection {
+    /// Consecutive failures that make a server an outlier, where a single one proves nothing.
+    pub failures: u32,
+    /// The most of the fleet that time-outs may eject, from 0 to 1: beyond it, the fault is likelier the
+    /// work's or the fleet's.
+    pub at_most: f64,
+}
+
+impl Default for Ejection {
+    fn default() -> Self {
+        Self { failures: 3, at_most: 0.5 }
+    }
+}
+
 /// The figures of the four rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Rules {
     /// Where the list is asked for: the longest a node may leave off asking.
     pub ask_within: Millis,
@@ -142,6 +174,12 @@
     pub goal: Goal,
     /// What is permitted.
     pub limits: Limits,
+    /// How much is tried again.
+    pub retry: Retry,
+    /// When a server is left out.
+    pub ejection: Ejection,
+    /// The operators' factors to the sizes of single servers, listed or not; 1 where there is none.
+    pub server_weights: BTreeMap<ServerId, f64>,
     /// The figures of the four rules.
     pub rules: Rules,
     /// How the list arrives.
@@ -152,6 +190,9 @@
     pub tick: Millis,
 }
 
+/// The least and the most factor to a server's size.
+pub const SERVER_WEIGHTS: std::ops::RangeInclusive<f64> = 0.01..=100.0;
+
 /// Why settings were refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError(pub String);
@@ -169,7 +210,8 @@
     ///
     /// # Errors
     /// Names the first field that does not, and its bound: no classes, a time or amount that is negative or
-    /// not finite, an own number not below the count of nodes, a share outside 0 to 1.
+    /// not finite, an own number not below the count of nodes, a share outside 0 to 1, a server's factor
+    /// outside [`SERVER_WEIGHTS`].
     pub fn check(&self) -> Result<(), SettingsError> {
         let fail = |what: String| Err(SettingsError(what));
         if self.classes.is_empty() {
@@ -190,6 +232,7 @@
             ("rules.fall_multiple".into(), r.fall_multiple),
             ("rules.fall_window".into(), r.fall_window),
             ("tick".into(), self.tick),
+            ("retry.most".into(), self.retry.most),
             ("goal.worth".into(), g.worth),
             ("goal.worst_class".into(), g.worst_class),
             ("goal.worst_tenant".into(), g.worst_tenant),
@@ -197,7 +240,17 @@
         let mut shares = vec![
             ("rules.cold_share".to_string(), r.cold_share),
             ("over_share_worth".into(), self.over_share_worth),
+            ("retry.share".into(), self.retry.share),
+            ("ejection.at_most".into(), self.ejection.at_most),
         ];
+        if self.ejection.failures == 0 {
+            return fail("ejection.failures: none, one is needed at least".into());
+        }
+        if let Some((server, factor)) = self.server_weights.iter().find(|(_, w)| !SERVER_WEIGHTS.contains(w))
+        {
+            let (least, most) = SERVER_WEIGHTS.into_inner();
+            return fail(format!("server_weights[{}]: {factor} is outside {least} to {most}", server.0));
+        }
         for (n, class) in self.classes.iter().enumerate() {
             amounts.push((format!("classes[{n}].aim"), class.aim));
             amounts.push((format!("classes[{n}].worth"), class.worth));
@@ -222,6 +275,55 @@
         }
         Ok(())
     }
+
+    /// How often requests that wait are looked at: far below every aim, and often enough that an answer at the
+    /// deadline comes within its slack.
+    pub(crate) fn period(&self) -> Millis {
+        let aim = self.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+        (aim / 20.0).max(self.tick).max(1.0)
+    }
+
+    /// A node's own part of a tenant's share, in requests a second: each is taken to get an even part.
+    pub(crate) fn own_quota(&self, tenant: usize) -> f64 {
+        self.tenants[tenant].quota_per_s / self.nodes as f64
+    }
+
+    /// The operators' factor to a server's size.
+    pub(crate) fn factor(&self, server: ServerId) -> f64 {
+        self.server_weights.get(&server).copied().unwrap_or(1.0)
+    }
+
+    /// May a node that is in service go over to `new`? What a request may do twice, the rules and who the
+    /// node is hold from its start to its end.
+    ///
+    /// # Errors
+    /// Names the first field that may not change in service, or that makes no sense.
+    pub fn may_become(&self, new: &Self) -> Result<(), SettingsError> {
+        new.check()?;
+        let (l, n) = (&self.limits, &new.limits);
+        let effects = |s: &Self| s.classes.iter().map(|c| c.effect).collect::<Vec<_>>();
+        let same = [
+            ("number", self.number == new.number),
+            ("nodes", self.nodes == new.nodes),
+            ("classes: their number", self.classes.len() == new.classes.len()),
+            ("classes: an effect", effects(self) == effects(new)),
+            ("tenants: their number", self.tenants.len() == new.tenants.len()),
+            ("over_share_worth", self.over_share_worth == new.over_share_worth),
+            ("goal", self.goal == new.goal),
+            ("limits.second_copies", l.second_copies == n.second_copies),
+            ("limits.cancel", l.cancel == n.cancel),
+            ("limits.probes", l.probes == n.probes),
+            ("limits.connect_timeout", l.connect_timeout == n.connect_timeout),
+            ("rules", self.rules == new.rules),
+            ("discovery", self.discovery == new.discovery),
+            ("weights", self.weights == new.weights),
+            ("tick", self.tick == new.tick),
+        ];
+        match same.iter().find(|(_, same)| !same) {
+            Some((name, _)) => Err(SettingsError(format!("{name}: may not change in service"))),
+            None => Ok(()),
+        }
+    }
 }
 
 /// What the list says of a server.
@@ -306,6 +408,10 @@
         /// When they did; perhaps before this node's own start.
         returned: Millis,
     },
+    /// The settings from now on. What came before keeps to those that it came under; the limits, paces and
+    /// allowances that were learned or saved up stay, as far as the new ones let them. Settings that the
+    /// present ones may not become, see [`Settings::may_become`], change nothing.
+    Policy(Box<Settings>),
     /// A client asks for something; one final answer is owed from now on.
     Request {
         /// The request.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,24 +6,15 @@
 //! request is refused.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::SplitMix64;
 
 use crate::api::*;
 
-/// Consecutive failures that make a server an outlier, where a single one proves nothing.
-const OUTLIER_FAILURES: u32 = 3;
-/// The most of the fleet that time-outs may eject: beyond it, the fault is likelier the work's or the
-/// fleet's.
-const EJECT_AT_MOST: f64 = 0.5;
 /// Part of the cold budget that is used; the rest is for chance and for uneven nodes.
 const SLOW_START_CAUTION: f64 = 0.5;
-/// Further attempts that may have cost work, as a part of the first ones.
-const RETRY_BUDGET_SHARE: f64 = 0.1;
-/// The retry budget that may be saved up, in attempts.
-const RETRY_BUDGET_MAX: f64 = 10.0;
-
 /// Nodes that share one server where there are many: enough that their uneven traffic evens out, few enough
 /// for its connections, and for each to see the server often.
 const NODES_PER_SERVER: usize = 8;
@@ -71,15 +62,15 @@
 
 /// The decision module of one node.
 pub struct Balancer {
-    set: Settings,
+    set: Arc<Settings>,
+    /// How often requests that wait are looked at; no rarer than any of them needs.
+    period: Millis,
     random: SplitMix64,
     now: Millis,
     servers: BTreeMap<ServerId, Server>,
     /// Those that operators have taken out, listed or not.
     disabled: BTreeSet<ServerId>,
-    /// All servers that are up and not taken out, sorted.
-    members: Vec<ServerId>,
-    /// The same, in the order in which this node would rather use them.
+    /// All servers that are up and not taken out, in the order in which this node would rather use them.
     order: Vec<ServerId>,
     /// Those that it rotates over, sorted.
     subset: Vec<ServerId>,
@@ -122,14 +113,16 @@
     entry: Entry,
     /// Its size as far as the list tells.
     size: f64,
+    /// The operators' factor to its turns.
+    factor: f64,
     /// Learned factor to its size.
     share: f64,
     /// When its next turn comes; the rotation takes the least.
     turn: f64,
     /// Its warmth when the turn was set.
     turn_warmth: f64,
-    /// Own attempts that are out: request, attempt, time of the send.
-    out: Vec<(RequestId, usize, Millis)>,
+    /// Own attempts that are out: request, attempt.
+    out: Vec<(RequestId, usize)>,
     /// How many own attempts may be out while the fleet as a whole is not slow.
     limit: f64,
     last_sent: Millis,
@@ -155,10 +148,9 @@
 }
 
 /// Where the body of a request is.
-#[derive(Clone, Copy, Default, PartialEq)]
+#[derive(Clone, Copy, PartialEq)]
 enum Body {
     /// At the node, for as many attempts as it takes.
-    #[default]
     Kept,
     /// On its way through; its server has no work of it yet.
     Coming,
@@ -166,13 +158,16 @@
     Passed,
 }
 
-#[derive(Default)]
 struct Request {
+    /// The settings that it came under: it is judged by them to its end.
+    set: Arc<Settings>,
     body: Body,
     work: Option<Millis>,
     class: usize,
+    /// Its tenant, where it is within that one's share.
     tenant: Option<usize>,
-    in_share: bool,
+    /// What an answer in time is worth.
+    worth: f64,
     /// When the client first asked, as far as its deadline tells.
     asked: Millis,
     /// When this try of it came.
@@ -264,10 +259,33 @@
     }
 }
 
+impl ClassStats {
+    /// How long ago the client first asked. A client that comes back after a refusal still gives up when the
+    /// time of its first asking ends: to take its request for a new one would spend work on what can no
+    /// longer be in time. The most time that a class's requests ever had left is that of new ones. Where
+    /// clients may repeat what they have given up, each try has a time of its own, cut short where the
+    /// client's whole time ends sooner: of those marked as repeats, that tells when they first asked.
+    fn age(&mut self, class: &Class, left: Millis, again: bool) -> Millis {
+        if left.is_finite() {
+            self.most_left = self.most_left.max(left);
+        }
+        let most = self.most_left;
+        match class.effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => match class.deadline {
+                all if !again || all.is_infinite() => 0.0,
+                all if left < WHOLE_TRY * most => (all - left).max(0.0),
+                // Asked at some time between now and when its try would have been cut short.
+                all => ((all - most) / 2.0).max(0.0),
+            },
+            _ => (most - left).max(0.0),
+        }
+    }
+}
+
 impl Server {
-    fn new(entry: Entry) -> Self {
+    fn new(entry: Entry, factor: f64) -> Self {
         let (turn, limit, last_sent) = (f64::NAN, f64::NAN, f64::NEG_INFINITY);
-        Self { entry, share: 1.0, turn, turn_warmth: 1.0, limit, last_sent, ..Self::default() }
+        Self { entry, factor, share: 1.0, turn, turn_warmth: 1.0, limit, last_sent, ..Self::default() }
     }
 
     fn listed_up(&self) -> bool {
@@ -299,7 +317,8 @@
 impl Request {
     /// Rule 2, for every further attempt and every refusal: is it harmless by what is known of the earlier
     /// ones? `to` is the server to send to; `None` asks about a refusal.
-    fn may_repeat(&self, class: &Class, limits: &Limits, now: Millis, to: Option<&Entry>) -> bool {
+    fn may_repeat(&self, now: Millis, to: Option<&Entry>) -> bool {
+        let limits = &self.set.limits;
         let mut ran = self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran));
         if to.is_some() {
             let most = if self.body == Body::Kept { limits.attempts } else { 1 };
@@ -307,7 +326,7 @@
                 return false;
             }
         }
-        match class.effect {
+        match self.class().effect {
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
             Effect::Keyed { group, memory } => ran.all(|a| match to {
@@ -324,13 +343,43 @@
         }
     }
 
+    fn class(&self) -> &Class {
+        &self.set.classes[self.class]
+    }
+
+    /// Until when an answer has its full worth, less the way back to the client.
+    fn useful_until(&self) -> Millis {
+        (self.asked + self.class().aim - self.set.tick).min(self.deadline)
+    }
+
+    /// Until when an answer is worth anything.
+    fn worth_until(&self) -> Millis {
+        if self.class().late_worth > 0.0 {
+            self.deadline
+        } else {
+            self.useful_until()
+        }
+    }
+
+    /// How much of its aim an attempt took, by which it counts for its server.
+    fn part(&self, outcome: Outcome, took: Millis) -> Option<f64> {
+        let part = took / self.class().aim;
+        match outcome {
+            Outcome::Done => Some(part.min(LATE)),
+            // Cut off when it was of no more use. One that had little time says little.
+            Outcome::TimedOut if self.class().late_worth == 0.0 => Some(CUT * part.min(1.0)),
+            Outcome::TimedOut | Outcome::Full => Some(LATE),
+            _ => None,
+        }
+    }
+
     fn pending(&self) -> bool {
         self.attempts.iter().any(|a| a.outcome.is_none())
     }
 
     /// Calls off all attempts that are out, where that is permitted.
-    fn cancelled<'a>(&'a self, id: RequestId, limits: &Limits) -> impl Iterator<Item = Action> + 'a {
-        let cancel = limits.cancel;
+    fn cancelled(&self, id: RequestId) -> impl Iterator<Item = Action> + '_ {
+        let cancel = self.set.limits.cancel;
         let out = self.attempts.iter().enumerate().filter(move |(_, a)| cancel && a.outcome.is_none());
         out.map(move |(attempt, _)| Action::Cancel { id, attempt })
     }
@@ -352,13 +401,14 @@
         let tenant = |_| TenantStats { counted: f64::NEG_INFINITY, ..TenantStats::default() };
         let classes = settings.classes.iter().map(class).collect();
         let tenants = settings.tenants.iter().map(tenant).collect();
+        let retry_budget = settings.retry.most;
         Ok(Self {
-            set: settings,
+            period: settings.period(),
+            set: Arc::new(settings),
             random: SplitMix64::seed_from_u64(seed),
             now: 0.0,
             servers: BTreeMap::new(),
             disabled: BTreeSet::new(),
-            members: Vec::new(),
             order: Vec::new(),
             subset: Vec::new(),
             chosen: f64::NEG_INFINITY,
@@ -374,7 +424,7 @@
             pace: Rate::default(),
             arrivals: Rate::default(),
             times: BTreeMap::new(),
-            retry_budget: RETRY_BUDGET_MAX,
+            retry_budget,
             actions: Vec::new(),
             timer_due: f64::INFINITY,
             swept: f64::NEG_INFINITY,
@@ -394,12 +444,26 @@
                 self.regroup();
             }
             Event::Enable { server, returned } => self.on_enabled(server, returned),
+            Event::Policy(settings) => self.on_policy(*settings),
             Event::Request { id, class, tenant, deadline, coming, again, work } => {
                 let body = if coming { Body::Coming } else { Body::Kept };
                 let (asked, came) = (now, now);
-                let known =
-                    Request { body, work, class, tenant, asked, came, deadline, ..Request::default() };
-                self.on_request(id, known, again);
+                let (set, attempts) = (self.set.clone(), Vec::new());
+                let (worth, streaming) = (0.0, false);
+                let request = Request {
+                    set,
+                    body,
+                    work,
+                    class,
+                    tenant,
+                    worth,
+                    asked,
+                    came,
+                    deadline,
+                    attempts,
+                    streaming,
+                };
+                self.on_request(id, request, again);
             }
             Event::Whole { id, deadline } => self.on_whole(id, deadline),
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt),
@@ -458,7 +522,7 @@
             Call::AskAt(at, _) => at.max(0.0),
             Call::Asked(at, _) => at + self.set.rules.ask_within,
         };
-        let held = if self.waiting.is_empty() { f64::INFINITY } else { self.swept + self.period() };
+        let held = if self.waiting.is_empty() { f64::INFINITY } else { self.swept + self.period };
         let mut due = call.min(held);
         for server in self.rotated() {
             if let (Some(at), false) = (server.ejected, server.probing) {
@@ -476,11 +540,27 @@
         self.set.rules.warm_within / WARMTH_STEPS
     }
 
-    /// How often requests that wait are looked at: far below every aim, and
-    /// often enough that an answer at the deadline comes within its slack.
-    fn period(&self) -> Millis {
-        let aim = self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
-        (aim / 20.0).max(self.set.tick).max(1.0)
+    /// Requests that are here keep to the settings that they came under.
+    fn on_policy(&mut self, new: Settings) {
+        if self.set.may_become(&new).is_err() {
+            return;
+        }
+        for tenant in 0..self.tenants.len() {
+            // Saved up under the old share; what is above the new one's most is cut when next asked for.
+            (self.tenants[tenant].left, self.tenants[tenant].counted) = (self.quota_left(tenant), self.now);
+        }
+        for (stats, class) in self.classes.iter_mut().zip(&new.classes) {
+            // New requests would else be taken for old ones.
+            stats.most_left = stats.most_left.min(class.deadline);
+        }
+        for (id, server) in self.servers.iter_mut().filter(|(id, s)| s.factor != new.factor(**id)) {
+            // The part of its round that it has waited for its turn stays the same.
+            let was = std::mem::replace(&mut server.factor, new.factor(*id));
+            server.turn = self.cursor + (server.turn - self.cursor) * was / server.factor;
+        }
+        self.retry_budget = self.retry_budget.min(new.retry.most);
+        self.period = self.period.min(new.period());
+        self.set = Arc::new(new);
     }
 
     // ---- The list of servers ----
@@ -500,7 +580,9 @@
             }
             // Live weights are load in disguise, late and alike for all nodes. The most that a server was
             // ever listed at, when it held least, is its size.
-            let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry.clone()));
+            let factor = self.set.factor(entry.server);
+            let server =
+                self.servers.entry(entry.server).or_insert_with(|| Server::new(entry.clone(), factor));
             server.size = match self.set.weights {
                 Weights::Listed => entry.weight,
                 Weights::Live => entry.weight.max(server.size),
@@ -532,9 +614,10 @@
     /// Follows a change of who is up and not taken out.
     fn regroup(&mut self) {
         let members: Vec<_> = self.up().map(|s| s.entry.server).collect();
-        if members != self.members {
+        let mut known = self.order.clone();
+        known.sort_unstable();
+        if members != known {
             self.order = self.preference(&members);
-            self.members = members;
         }
         let limit = self.first_limit();
         for server in self.servers.values_mut().filter(|s| s.limit.is_nan()) {
@@ -572,7 +655,7 @@
 
     /// How many nodes send to a server.
     fn sharing(&self) -> f64 {
-        let up = self.members.len().max(1);
+        let up = self.order.len().max(1);
         (self.set.nodes * self.subset_size(up)) as f64 / up as f64
     }
 
@@ -639,16 +722,14 @@
     fn choose_subset(&mut self) {
         let wanted = self.subset_size(self.order.len()) as f64;
         let (mut warm, mut subset) = (0.0, Vec::new());
-        for id in &self.order {
+        for server in self.order.iter().filter_map(|id| self.servers.get(id)) {
             if warm >= wanted {
                 break;
             }
-            if let Some(server) = self.servers.get(id) {
-                if server.ejected.is_none() {
-                    warm += server.warmth(self.now, &self.set.rules);
-                }
-                subset.push(*id);
+            if server.ejected.is_none() {
+                warm += server.warmth(self.now, &self.set.rules);
             }
+            subset.push(server.entry.server);
         }
         subset.sort_unstable();
         for (_, server) in self.servers.iter_mut().filter(|(id, _)| subset.binary_search(id).is_err()) {
@@ -676,7 +757,7 @@
             // Cold ones take a random place: by the cursors alone, many nodes would come at once.
             let after = (place + count - next) % count;
             let p = if warmth < 1.0 { stagger } else { after as f64 / count as f64 };
-            server.turn = self.cursor + p / (server.size * warmth);
+            server.turn = self.cursor + p / (server.size * server.factor * warmth);
             server.turn_warmth = warmth;
             (server.stagger, server.last_sent) = (stagger, server.last_sent.max(self.now));
         }
@@ -702,7 +783,7 @@
             let server = self.servers.get_mut(&id)?;
             (self.cursor, self.cursor_at) = (server.turn, Some(id));
             server.turn_warmth = server.warmth(now, &self.set.rules);
-            server.turn += 1.0 / (server.size * server.share * server.turn_warmth);
+            server.turn += 1.0 / (server.size * server.factor * server.share * server.turn_warmth);
             if passes {
                 return Some(id);
             }
@@ -752,7 +833,7 @@
     fn eject(&mut self, id: ServerId, sure: bool) {
         let up = self.rotated();
         let ejected = up.clone().filter(|s| s.ejected.is_some()).count() + 1;
-        let too_many = ejected as f64 > EJECT_AT_MOST * up.count() as f64;
+        let too_many = ejected as f64 > self.set.ejection.at_most * up.count() as f64;
         let (now, base, most) =
             (self.now, 4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0);
         if let Some(server) = self.servers.get_mut(&id) {
@@ -804,14 +885,14 @@
                 }
                 server.consecutive_breaks += 1;
                 let lasting = self.now - server.broke >= self.set.limits.connect_timeout;
-                if lasting && server.consecutive_breaks >= OUTLIER_FAILURES {
+                if lasting && server.consecutive_breaks >= self.set.ejection.failures {
                     (server.consecutive_breaks, server.down) = (0, true);
                     self.eject(id, true);
                 }
             }
             Outcome::TimedOut | Outcome::Error => {
                 server.consecutive_failures += 1;
-                if server.consecutive_failures >= OUTLIER_FAILURES {
+                if server.consecutive_failures >= self.set.ejection.failures {
                     server.consecutive_failures = 0;
                     self.eject(id, false);
                 }
@@ -831,19 +912,22 @@
             self.actions.push(Action::Fail(id));
             return;
         }
-        self.retry_budget = (self.retry_budget + RETRY_BUDGET_SHARE).min(RETRY_BUDGET_MAX);
+        self.retry_budget = (self.retry_budget + self.set.retry.share).min(self.set.retry.most);
         let size: f64 = self.rotated().map(|s| s.size * s.warmth(self.now, &self.set.rules)).sum();
         self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
         request.tenant = request.tenant.filter(|t| *t < self.set.tenants.len());
-        request.in_share = request.tenant.is_none_or(|t| self.take_quota(t));
-        request.asked -= self.age(request.class, request.deadline, again);
+        let within = request.tenant.is_none_or(|t| self.take_quota(t));
+        request.tenant = request.tenant.filter(|_| within);
+        request.worth = request.class().worth * if within { 1.0 } else { self.set.over_share_worth };
+        let left = request.deadline - self.now;
+        request.asked -= self.classes[request.class].age(request.class(), left, again);
         self.tally(&request, |care| &mut care.asked);
         // An attempt is given up when it is of no more use. So what can't be in time, as it is a late repeat
         // or more work than there is time for, is not begun: it would only take the work of others that can.
         // While none is refused for want of room, a longer shot is taken the more the fleet has in reserve.
         let room = self.now - self.shed > self.set.rules.fall_window;
         let reserve = if room { self.fleet.max(1.0) } else { 1.0 };
-        let left = (self.worth_until(&request) - self.now) * reserve;
+        let left = (request.worth_until() - self.now) * reserve;
         let hopeless = (again || self.extra(&request) > 0.0) && left < self.usual(&request);
         self.requests.insert(id, request);
         if hopeless {
@@ -856,60 +940,37 @@
 
     /// The time of a request that was coming counts from its last byte. Only then has its server work of it.
     fn on_whole(&mut self, id: RequestId, deadline: Millis) {
-        let coming = self.requests.get(&id).filter(|r| r.body == Body::Coming);
-        let Some(class) = coming.map(|r| r.class) else { return };
-        let asked = self.now - self.age(class, deadline, false);
-        let Some(request) = self.requests.get_mut(&id) else { return };
+        let coming = self.requests.get_mut(&id).filter(|r| r.body == Body::Coming);
+        let Some(request) = coming else { return };
+        let age = self.classes[request.class].age(request.class(), deadline - self.now, false);
+        let asked = self.now - age;
         (request.body, request.asked, request.came, request.deadline) =
             (Body::Passed, asked, self.now, deadline);
         for (attempt, a) in request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
             if let Some(server) = self.servers.get_mut(&a.to.server) {
-                server.out.push((id, attempt, self.now));
+                server.out.push((id, attempt));
             }
         }
     }
 
-    /// How long ago the client first asked. A client that comes back after a refusal still gives up when the
-    /// time of its first asking ends: to take its request for a new one would spend work on what can no
-    /// longer be in time. The most time that a class's requests ever had left is that of new ones. Where
-    /// clients may repeat what they have given up, each try has a time of its own, cut short where the
-    /// client's whole time ends sooner: of those marked as repeats, that tells when they first asked.
-    fn age(&mut self, class: usize, deadline: Millis, again: bool) -> Millis {
-        let (left, all) = (deadline - self.now, self.set.classes[class].deadline);
-        let most = &mut self.classes[class].most_left;
-        if left.is_finite() {
-            *most = most.max(left);
-        }
-        match self.set.classes[class].effect {
-            Effect::Safe | Effect::Keyed { group: Group::All, .. } => match all {
-                all if !again || all.is_infinite() => 0.0,
-                all if left < WHOLE_TRY * *most => (all - left).max(0.0),
-                // Asked at some time between now and when its try would have been cut short.
-                all => ((all - *most) / 2.0).max(0.0),
-            },
-            _ => (*most - left).max(0.0),
-        }
-    }
-
     /// Is a request within its tenant's share? The share of all nodes is taken to come evenly to each.
     fn take_quota(&mut self, tenant: usize) -> bool {
-        let own = self.set.tenants[tenant].quota_per_s / self.set.nodes as f64;
-        let stats = &mut self.tenants[tenant];
-        let left = (stats.left + own * (self.now - stats.counted) / 1000.0).min(own.max(1.0));
+        let left = self.quota_left(tenant);
         let within = left >= 1.0;
+        let stats = &mut self.tenants[tenant];
         (stats.left, stats.counted) = (if within { left - 1.0 } else { left }, self.now);
         within
     }
 
-    fn worth(&self, request: &Request) -> f64 {
-        let share = if request.in_share { 1.0 } else { self.set.over_share_worth };
-        self.set.classes[request.class].worth * share
+    fn quota_left(&self, tenant: usize) -> f64 {
+        let (own, stats) = (self.set.own_quota(tenant), &self.tenants[tenant]);
+        (stats.left + own * (self.now - stats.counted) / 1000.0).min(own.max(1.0))
     }
 
     fn tally(&mut self, request: &Request, of: impl Fn(&mut Care) -> &mut Rate) {
-        let (now, worth) = (self.now, self.worth(request));
+        let (now, worth) = (self.now, request.worth);
         of(&mut self.classes[request.class].care).add(now, MEMORY, worth);
-        if let (Some(tenant), true) = (request.tenant, request.in_share) {
+        if let Some(tenant) = request.tenant {
             of(&mut self.tenants[tenant].care).add(now, MEMORY, worth);
         }
     }
@@ -931,8 +992,7 @@
     /// other: one that is bound to the cell of its first attempt would else be held for nothing.
     fn may_go(&self, id: RequestId, to: &Server) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
-        let class = &self.set.classes[request.class];
-        let may = |s: &Server| request.may_repeat(class, &self.set.limits, self.now, Some(&s.entry));
+        let may = |s: &Server| request.may_repeat(self.now, Some(&s.entry));
         let last = request.attempts.last().map(|a| a.to.server);
         let again = last == Some(to.entry.server);
         may(to) && !(again && self.rotated().any(|s| Some(s.entry.server) != last && may(s)))
@@ -940,14 +1000,14 @@
 
     fn send(&mut self, id: RequestId, to: ServerId) {
         let (Some(request), Some(server)) = (self.requests.get(&id), self.servers.get(&to)) else { return };
-        let (timeout, rest) = (self.worth_until(request) - self.now, self.rest(server));
+        let (timeout, rest) = (request.worth_until() - self.now, self.rest(server));
         let allowed = server.allowed(self.fleet, self.least_limit());
         let (Some(request), Some(server)) = (self.requests.get_mut(&id), self.servers.get_mut(&to)) else {
             return;
         };
         let alone = server.out.is_empty();
         if request.body == Body::Kept {
-            server.out.push((id, request.attempts.len(), self.now));
+            server.out.push((id, request.attempts.len()));
         }
         let rested = self.now - server.last_sent;
         (server.last_sent, server.stagger) = (self.now, 1.0);
@@ -958,12 +1018,6 @@
         self.actions.push(Action::Send { id, server: to, timeout: Some(timeout.max(0.001)) });
     }
 
-    /// Until when an answer has its full worth, less the way back to the client.
-    fn useful_until(&self, request: &Request) -> Millis {
-        let aim = self.set.classes[request.class].aim;
-        (request.asked + aim - self.set.tick).min(request.deadline)
-    }
-
     /// How long its answer would take by what is usual for its class, and by how its work differs from that.
     fn usual(&self, request: &Request) -> Millis {
         let class = &self.classes[request.class];
@@ -976,39 +1030,23 @@
         request.work.filter(|_| usual > 0.0).map_or(0.0, |work| work - usual)
     }
 
-    /// Until when an answer is worth anything.
-    fn worth_until(&self, request: &Request) -> Millis {
-        if self.set.classes[request.class].late_worth > 0.0 {
-            request.deadline
-        } else {
-            self.useful_until(request)
-        }
-    }
-
     fn on_streaming(&mut self, id: RequestId, attempt: usize) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.streaming = true;
-            let others = request.cancelled(id, &self.set.limits);
+            let others = request.cancelled(id);
             self.actions.extend(others.filter(|a| *a != Action::Cancel { id, attempt }));
         }
     }
 
     /// An attempt is no longer out at its server.
-    fn on_returned(
-        &mut self,
-        id: RequestId,
-        attempt: usize,
-        server: ServerId,
-        outcome: Outcome,
-        took: Millis,
-    ) {
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.out.retain(|o| (o.0, o.1) != (id, attempt));
+    fn on_returned(&mut self, id: RequestId, attempt: usize, at: ServerId, outcome: Outcome, took: Millis) {
+        if let Some(server) = self.servers.get_mut(&at) {
+            server.out.retain(|o| *o != (id, attempt));
         }
         // One that had little time says little of its server.
-        let aim = self.requests.get(&id).map_or(0.0, |r| self.set.classes[r.class].aim);
+        let aim = self.requests.get(&id).map_or(0.0, |r| r.class().aim);
         if outcome != Outcome::TimedOut || CUT * took >= aim {
-            self.detect_outlier(server, outcome, took);
+            self.detect_outlier(at, outcome, took);
         }
         self.servers.retain(|_, s| s.entry.state != Listed::Gone || !s.out.is_empty());
     }
@@ -1019,11 +1057,13 @@
         let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
         let (class, work, ended) = (request.class, request.work, ended.clone());
-        let open = request.pending() || request.streaming;
-        self.learn(class, work, &ended, outcome, took);
+        let (open, part) = (request.pending() || request.streaming, request.part(outcome, took));
+        if let Some(part) = part {
+            self.learn(class, work, &ended, took, part);
+        }
         if finished {
             if let Some(request) = self.forget(id) {
-                if self.now - request.asked <= self.set.classes[class].aim {
+                if self.now - request.asked <= request.class().aim {
                     self.tally(&request, |care| &mut care.served);
                 }
             }
@@ -1034,19 +1074,10 @@
     }
 
     /// What the end of an attempt says of its server's pace, for the limit, the share and the usual times.
-    fn learn(&mut self, class: usize, work: Option<Millis>, of: &Attempt, outcome: Outcome, took: Millis) {
+    fn learn(&mut self, class: usize, work: Option<Millis>, of: &Attempt, took: Millis, part: f64) {
         let (id, at_limit, alone) = (of.to.server, of.at_limit, of.alone);
-        let (now, rules, done) = (self.now, &self.set.rules, outcome == Outcome::Done);
+        let (now, rules, done) = (self.now, &self.set.rules, of.outcome == Some(Outcome::Done));
         let (first, least_limit) = (self.first_limit(), self.least_limit());
-        let part = match outcome {
-            Outcome::Done => (took / self.set.classes[class].aim).min(LATE),
-            // Cut off when it was of no more use. One that had little time says little.
-            Outcome::TimedOut if self.set.classes[class].late_worth == 0.0 => {
-                CUT * (took / self.set.classes[class].aim).min(1.0)
-            }
-            Outcome::TimedOut | Outcome::Full => LATE,
-            _ => return,
-        };
         let warm = |s: &Server| s.warmth(now, rules) >= 1.0;
         if done && self.subset.binary_search(&id).is_ok() && self.servers.get(&id).is_some_and(warm) {
             // Measured on warm servers alone: measured on cold ones too, a cold budget would feed on itself.
@@ -1072,7 +1103,7 @@
             self.fleet = (self.fleet * step.exp()).min(FLEET_RESERVE);
         }
         let Some(s) = self.servers.get_mut(&id) else { return };
-        if outcome != Outcome::Full {
+        if of.outcome != Some(Outcome::Full) {
             // To be turned away takes no time: a rest that went by it would end at once, and many nodes that
             // rest so keep a full server full.
             s.last_took = took;
@@ -1106,11 +1137,9 @@
     /// What becomes of a request whose attempts have all failed.
     fn further(&mut self, id: RequestId, outcome: Outcome) {
         let Some(request) = self.requests.get(&id) else { return };
-        let class = &self.set.classes[request.class];
-        let time = self.worth_until(request) - self.now > self.usual(request);
+        let time = request.worth_until() - self.now > self.usual(request);
         let free = outcome.never_ran();
-        let may =
-            self.rotated().any(|s| request.may_repeat(class, &self.set.limits, self.now, Some(&s.entry)));
+        let may = self.rotated().any(|s| request.may_repeat(self.now, Some(&s.entry)));
         if time && may && (free || self.retry_budget >= 1.0) {
             if !free {
                 self.retry_budget -= 1.0;
@@ -1124,9 +1153,8 @@
     /// The final answer of a request that is not served: refused where rule 2 lets it, else failed.
     fn conclude(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
-        let class = &self.set.classes[request.class];
-        if request.may_repeat(class, &self.set.limits, self.now, None) {
-            let stay_away = (STAY_AWAY * class.aim).min(self.set.limits.max_retry_after);
+        if request.may_repeat(self.now, None) {
+            let stay_away = (STAY_AWAY * request.class().aim).min(request.set.limits.max_retry_after);
             self.actions.push(Action::Refuse { id, stay_away });
         } else {
             self.actions.push(Action::Fail(id));
@@ -1138,7 +1166,7 @@
     fn forget(&mut self, id: RequestId) -> Option<Request> {
         let request = self.requests.remove(&id)?;
         if !request.streaming {
-            self.actions.extend(request.cancelled(id, &self.set.limits));
+            self.actions.extend(request.cancelled(id));
         }
         Some(request)
     }
@@ -1146,16 +1174,15 @@
     /// Sends what is held, in the order of what it adds to the goal for the work it takes, and answers what
     /// has waited too long. First come, first served would shed by the length of the aims, not by worth.
     fn serve_waiting(&mut self) {
-        let last = 2.0 * self.period();
+        let last = 2.0 * self.period;
         let mut held = Vec::new();
         for id in std::mem::take(&mut self.waiting) {
             let Some(request) = self.requests.get(&id) else { continue };
-            let class = request.class;
             // As long as an answer may still come in time.
-            let spare = self.useful_until(request) - self.usual(request);
+            let spare = request.useful_until() - self.usual(request);
             let end = if request.attempts.is_empty() {
                 // In a lasting overload a long hold helps nobody: all that is served has lost its time.
-                let aim = self.set.classes[class].aim;
+                let aim = request.class().aim;
                 let lasting = self.held_since.is_some_and(|since| self.now - since > aim);
                 (request.came + aim * if lasting { HOLD.1 } else { HOLD.0 }).min(spare).max(request.came)
             } else {
@@ -1176,7 +1203,11 @@
             let Some(place) = self.best_held(&held, server) else { break };
             self.send(held.swap_remove(place), server);
         }
-        self.held_since = if held.is_empty() { None } else { self.held_since.or(Some(self.now)) };
+        if held.is_empty() {
+            (self.held_since, self.period) = (None, self.set.period());
+        } else {
+            self.held_since.get_or_insert(self.now);
+        }
         self.waiting = held;
     }
 
@@ -1195,11 +1226,11 @@
         let times = self.times.get(&to.entry.kind);
         let key = |place: usize| {
             let r = self.requests.get(&held[place])?;
-            let tenant = r.tenant.filter(|_| r.in_share).map_or(0.0, |t| by_tenant[t]);
+            let tenant = r.tenant.map_or(0.0, |t| by_tenant[t]);
             let slope = goal.worth / asked.max(f64::MIN_POSITIVE) + by_class[r.class] + tenant;
             let usual = self.classes[r.class].mean;
             let time = times.map_or(usual, |t| if t[r.class] > 0.0 { t[r.class] } else { usual });
-            Some((self.worth(r) * slope / time.max(f64::MIN_POSITIVE), r.came))
+            Some((r.worth * slope / time.max(f64::MIN_POSITIVE), r.came))
         };
         let keyed = may.filter_map(|place| Some((place, key(place)?)));
         let best = keyed.max_by(|(_, a), (_, b)| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,9 @@
 //!         attempts: 3, second_copies: false, cancel: true, probes: false, connect_timeout: 50.0,
 //!         max_retry_after: 1_000.0,
 //!     },
+//!     retry: Retry::default(),
+//!     ejection: Ejection::default(),
+//!     server_weights: Default::default(),
 //!     rules: Rules {
 //!         ask_within: 10_000.0, cold_share: 0.2, warm_within: 20_000.0, fall_multiple: 3.0, fall_window: 1_000.0,
 //!     },
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -9,6 +9,9 @@
 use crate::api::*;
 use crate::balance::Balancer;
 
+mod policy;
+pub use policy::{with_policy, PolicyError};
+
 /// The bit of a request's marks that says its client's guess at the work holds.
 const GUESSED: u64 = 1;
 /// The bit that says its client repeats it.
@@ -137,6 +140,11 @@
     pub keepalive: Millis,
     /// The most requests that may be open at a node.
     pub open_cap: usize,
+    /// The operators' factors to servers' sizes, by the servers' names; who knows the servers' ids puts them
+    /// into the settings.
+    pub weights: BTreeMap<String, f64>,
+    /// The names of the servers that get nothing new.
+    pub bans: Vec<String>,
 }
 
 /// Reads the settings object that an instance, or a node on sockets, is given.
@@ -159,6 +167,12 @@
     let r = Fields::of(f.need("Contract")?, "Contract")?;
     let empty = Value::Object(Map::new());
     let g = Fields::of(f.get("Goal").unwrap_or(&empty), "Goal")?;
+    let t = Fields::of(f.get("Retry").unwrap_or(&empty), "Retry")?;
+    let e = Fields::of(f.get("Ejection").unwrap_or(&empty), "Ejection")?;
+    let (retry, ejection) = (Retry::default(), Ejection::default());
+    let weights = Fields::of(f.get("ServerWeights").unwrap_or(&empty), "ServerWeights")?;
+    let weights = weights.map.iter().map(|(name, factor)| Ok((name.clone(), number(factor, name)?)));
+    let bans = f.list("ServerBans")?.iter().map(|name| text(name, "ServerBans").map(str::to_string));
     let settings = Settings {
         number: whole(f.need("Me")?, "Me")? as usize,
         nodes: whole(f.need("PeersTotal")?, "PeersTotal")? as usize,
@@ -182,6 +196,18 @@
                 0.0
             },
         },
+        retry: Retry {
+            share: t.number_or("BudgetShare", retry.share)?,
+            most: t.number_or("BudgetMax", retry.most)?,
+        },
+        ejection: Ejection {
+            failures: e.get("Failures").map_or(Ok(ejection.failures), |v| {
+                let failures = whole(v, "Failures")?;
+                failures.try_into().map_err(|_| format!("Failures: {failures} is too many"))
+            })?,
+            at_most: e.number_or("AtMost", ejection.at_most)?,
+        },
+        server_weights: BTreeMap::new(),
         rules: Rules {
             ask_within: r.number_or("AskWithin", 10_000.0)?,
             cold_share: r.number("ColdShare")?,
@@ -209,6 +235,8 @@
         longest,
         keepalive: l.number_or("Keepalive", 15_000.0)?,
         open_cap: l.number_or("OpenCap", 20_000.0)? as usize,
+        weights: weights.collect::<Result<_, WireError>>()?,
+        bans: bans.collect::<Result<_, WireError>>()?,
     })
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -34,6 +34,9 @@
             connect_timeout: 50.0,
             max_retry_after: 1000.0,
         },
+        retry: Retry::default(),
+        ejection: Ejection::default(),
+        server_weights: Default::default(),
         rules: Rules {
             ask_within: 10_000.0,
             cold_share: 0.15,
--- /dev/null
+++ b/tests/policy.rs
@@ -0,0 +1,209 @@
+//! Settings that change in service: one request is judged by one policy, and nothing jumps.
+
+mod common;
+use common::*;
+use tulipmount::*;
+
+fn policy(node: &mut Node, settings: Settings) -> Vec<Action> {
+    node.event(Event::Policy(Box::new(settings)))
+}
+
+/// How many of a burst of a tenant's requests are within its share: those go before an older one that is worth as
+/// much, the others after it.
+fn within_share(node: &mut Node) -> usize {
+    // Errors of unsafe requests free their places and teach nothing of their server's pace.
+    let mut out: Vec<_> = (0..4).map(|_| node.ask(UNSAFE).0).collect();
+    let (marker, actions) = node.ask(UNSAFE);
+    assert!(sends(&actions).is_empty(), "the one server is full");
+    node.now += 1.0;
+    let burst: Vec<_> = (0..30).map(|_| node.ask_for(UNSAFE, Some(0)).0).collect();
+    let mut sent = Vec::new();
+    while let Some(id) = out.pop() {
+        let next = sends(&node.end(id, Outcome::Error));
+        sent.extend(next.clone());
+        out.extend(next);
+    }
+    assert_eq!(sent.len(), burst.len() + 1, "all are sent");
+    sent.iter().position(|id| *id == marker).expect("sent")
+}
+
+/// The servers of requests that are served one after the other.
+fn turns(node: &mut Node, count: usize) -> Vec<u64> {
+    (0..count).map(|_| node.serve(SAFE, 5.0).expect("sent").0).collect()
+}
+
+fn count(turns: &[u64], server: u64) -> usize {
+    turns.iter().filter(|s| **s == server).count()
+}
+
+#[test]
+fn a_request_keeps_the_aim_that_it_came_under() {
+    let mut node = Node::fleet(settings(), 1);
+    let mut short = settings();
+    short.classes[SAFE].aim = 40.0;
+    let timeout = |actions: &[Action]| {
+        actions.iter().find_map(|a| if let Action::Send { timeout, .. } = a { *timeout } else { None })
+    };
+    // Four attempts fill the one server; what comes then is held.
+    let out: Vec<_> = (0..4).map(|_| node.ask(SAFE)).collect();
+    assert!(out.iter().all(|(_, actions)| timeout(actions) == Some(98.0)), "{out:?}");
+    let (held, actions) = node.ask(SAFE);
+    assert_eq!(sends(&actions), []);
+    policy(&mut node, short);
+    let (late, _) = node.ask(SAFE);
+    // A quarter of an aim is how long one is held: 10 of 40, 25 of 100.
+    let actions = node.wait(15.0);
+    assert!(refused(&actions, late) && !refused(&actions, held), "{actions:?}");
+    assert!(actions.contains(&Action::Refuse { id: late, stay_away: 10.0 }), "{actions:?}");
+    let actions = node.end(out[0].0, Outcome::Done);
+    assert_eq!(
+        (sends(&actions), timeout(&actions)),
+        (vec![held], Some(83.0)),
+        "its own aim, less the 15 held"
+    );
+    node.end(out[1].0, Outcome::Done);
+    assert_eq!(timeout(&node.ask(SAFE).1), Some(38.0));
+}
+
+#[test]
+fn attempts_cut_to_one_leave_retries_under_way() {
+    let mut node = Node::fleet(settings(), 3);
+    let (old, _) = node.ask(SAFE);
+    policy(&mut node, Settings { limits: Limits { attempts: 1, ..settings().limits }, ..settings() });
+    let (new, _) = node.ask(SAFE);
+    assert_eq!(sends(&node.end(old, Outcome::Error)), [old], "it came when four were permitted");
+    assert_eq!(sends(&node.end(old, Outcome::Error)), [old]);
+    let actions = node.end(new, Outcome::Error);
+    assert!(sends(&actions).is_empty() && refused(&actions, new), "{actions:?}");
+}
+
+#[test]
+fn a_smaller_retry_budget_takes_what_was_saved_up() {
+    let mut node = Node::fleet(settings(), 3);
+    policy(&mut node, Settings { retry: Retry { share: 0.0, most: 1.0 }, ..settings() });
+    let retried = |node: &mut Node| {
+        let (id, _) = node.ask(SAFE);
+        !sends(&node.end(id, Outcome::Error)).is_empty()
+    };
+    assert!(retried(&mut node) && !retried(&mut node), "one is left of ten");
+    policy(&mut node, settings());
+    assert!(!retried(&mut node), "a larger one is earned");
+}
+
+#[test]
+fn a_quota_that_halves_gives_no_burst() {
+    // Over its share a tenant's requests are worth nothing: with one server full, those within go first.
+    let set =
+        |quota_per_s| Settings { tenants: vec![Tenant { quota_per_s }], over_share_worth: 0.0, ..settings() };
+    let mut node = Node::fleet(set(40.0), 1);
+    node.wait(1000.0);
+    assert_eq!(within_share(&mut node), 20, "all that two nodes may save up in a second");
+    node.wait(1000.0);
+    policy(&mut node, set(20.0));
+    assert_eq!(within_share(&mut node), 10, "cut to the new most");
+    node.wait(110.0);
+    policy(&mut node, set(40.0));
+    assert_eq!(within_share(&mut node), 1, "what came under the old share counts as it was then");
+    node.wait(110.0);
+    assert_eq!(within_share(&mut node), 2);
+}
+
+#[test]
+fn weights_that_change_in_a_round_let_no_turn_jump() {
+    let mut node = Node::fleet(settings(), 4);
+    assert_eq!(turns(&mut node, 6), [0, 1, 2, 3, 0, 1]);
+    let weights = [(ServerId(2), 2.0), (ServerId(9), 0.5)].into();
+    policy(&mut node, Settings { server_weights: weights, ..settings() });
+    let round = turns(&mut node, 10);
+    assert_eq!(round[0], 2, "the turn that was next stays next");
+    assert_eq!([0, 1, 2, 3].map(|id| count(&round, id)), [2, 2, 4, 2], "{round:?}");
+    assert!(!round.windows(3).any(|w| w == [2, 2, 2]), "{round:?}");
+    policy(&mut node, settings());
+    let round = turns(&mut node, 8);
+    assert_eq!([0, 1, 2, 3].map(|id| count(&round, id)), [2; 4], "{round:?}");
+    // One that is listed later has its factor from the start.
+    let weights = [(ServerId(9), 0.5)].into();
+    policy(&mut node, Settings { server_weights: weights, ..settings() });
+    node.event(Event::ListChange(vec![entry(9, 1.0)]));
+    let round = turns(&mut node, 18);
+    assert_eq!(count(&round, 9), 2, "{round:?}");
+}
+
+#[test]
+fn a_larger_weight_does_not_push_a_cold_server() {
+    let sent = |weights: &[(ServerId, f64)]| {
+        let mut node = Node::fleet(settings(), 3);
+        policy(&mut node, Settings { server_weights: weights.iter().copied().collect(), ..settings() });
+        turns(&mut node, 400);
+        let started = Some(node.now);
+        node.event(Event::ListChange(vec![Entry { started, ..entry(2, 1.0) }]));
+        count(&turns(&mut node, 200), 2)
+    };
+    let (even, heavy) = (sent(&[]), sent(&[(ServerId(2), 50.0)]));
+    assert!(even < heavy && heavy < 22, "{heavy} sends for {even}, half of the budget is 21");
+}
+
+#[test]
+fn fewer_failures_eject_sooner() {
+    let mut node = Node::fleet(settings(), 3);
+    policy(&mut node, Settings { ejection: Ejection { failures: 1, at_most: 0.4 }, ..settings() });
+    for ejected in [1, 1] {
+        let (id, _) = node.ask(UNSAFE);
+        node.end(id, Outcome::Error);
+        assert_eq!(node.balancer.status().ejected, ejected, "at most 0.4 of three");
+    }
+}
+
+#[test]
+fn a_shorter_deadline_makes_no_new_request_an_old_one() {
+    let mut node = Node::fleet(settings(), 2);
+    node.ask_with(UNSAFE, None, 1000.0);
+    let mut short = settings();
+    short.classes[UNSAFE].deadline = 400.0;
+    policy(&mut node, short);
+    let (_, actions) = node.ask_with(UNSAFE, None, 400.0);
+    assert!(sent_to(&actions).is_some(), "{actions:?}");
+}
+
+#[test]
+fn held_requests_are_answered_in_time_though_aims_grow() {
+    let mut node = Node::fleet(settings(), 0);
+    let (id, _) = node.ask_with(SAFE, None, 90.0);
+    let mut long = settings();
+    for class in &mut long.classes {
+        class.aim = 5000.0;
+    }
+    policy(&mut node, long);
+    let actions = node.wait(35.0);
+    assert!(refused(&actions, id), "a quarter of its own aim has passed: {actions:?}");
+}
+
+#[test]
+fn what_may_not_change_changes_nothing() {
+    type Change = fn(&mut Settings);
+    let changes: [(&str, Change); 11] = [
+        ("number", |s| s.number = 1),
+        ("nodes", |s| s.nodes = 3),
+        ("classes: their number", |s| s.classes.truncate(1)),
+        ("classes: an effect", |s| s.classes[UNSAFE].effect = Effect::Safe),
+        ("tenants", |s| s.tenants.push(Tenant { quota_per_s: 1.0 })),
+        ("rules", |s| s.rules.cold_share = 1.0),
+        ("discovery", |s| s.discovery = Discovery::Asked),
+        ("weights", |s| s.weights = Weights::None),
+        ("limits.probes", |s| s.limits.probes = false),
+        ("ejection.failures", |s| s.ejection.failures = 0),
+        ("server_weights[3]: 0 is outside 0.01 to 100", |s| s.server_weights = [(ServerId(3), 0.0)].into()),
+    ];
+    for (name, change) in changes {
+        let mut other = settings();
+        change(&mut other);
+        other.limits.attempts = 1;
+        let error = settings().may_become(&other).expect_err(name);
+        assert!(error.0.starts_with(name), "{error}");
+        let mut node = Node::fleet(settings(), 3);
+        policy(&mut node, other);
+        let (id, _) = node.ask(SAFE);
+        assert_eq!(sends(&node.end(id, Outcome::Error)), [id], "{name}: the settings are as they were");
+    }
+    assert_eq!(settings().may_become(&settings()), Ok(()));
+}
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -17,6 +17,8 @@
     Leave(usize),
     Wait(f64),
     Probe(usize, bool),
+    /// New aims, as parts of those at first, then attempts, failures that eject, retries and a server's weight.
+    Policy([f64; 3], usize, u32, f64, f64),
     /// Events about things that never were.
     Odd(u64),
 }
@@ -40,6 +42,8 @@
         6 => (0.1..40.0).prop_map(Step::Wait),
         1 => (0..6usize, any::<bool>()).prop_map(|(s, up)| Step::Probe(s, up)),
         1 => any::<u64>().prop_map(Step::Odd),
+        1 => ([0.2..3.0, 0.2..3.0, 0.2..3.0], 1..6usize, 1..5u32, 0.0..10.0, 0.01..100.0)
+            .prop_map(|(aims, attempts, fails, most, weight)| Step::Policy(aims, attempts, fails, most, weight)),
     ]
 }
 
@@ -61,7 +65,8 @@
     referee: Referee,
     now: f64,
     out: Vec<Out>,
-    open: std::collections::BTreeMap<RequestId, (f64, usize)>,
+    /// Deadline, attempts made, attempts permitted when it came.
+    open: std::collections::BTreeMap<RequestId, (f64, usize, usize)>,
     variant: Variant,
 }
 
@@ -74,10 +79,13 @@
             self.referee.did(&self.settings, self.now, &action);
             match action {
                 Action::Send { id, server, timeout } => {
-                    let Some((deadline, attempts)) = self.open.get_mut(&id) else { continue };
+                    let Some((deadline, attempts, most)) = self.open.get_mut(&id) else { continue };
                     let until = timeout.map_or(*deadline, |t| (self.now + t).min(*deadline));
                     let attempt = *attempts;
                     *attempts += 1;
+                    if *attempts > *most {
+                        self.referee.breaches.push(format!("attempts: {id:?} was sent once too often"));
+                    }
                     self.out.push(Out { id, attempt, server, sent: self.now, until, cancelled: false });
                 }
                 Action::Cancel { id, attempt } => {
@@ -131,7 +139,7 @@
             Step::Ask(class, time) => {
                 let (id, deadline) = (RequestId(next), day.now + time);
                 next += 1;
-                day.open.insert(id, (deadline, 0));
+                day.open.insert(id, (deadline, 0, day.settings.limits.attempts));
                 day.event(Event::Request {
                     id,
                     class: *class,
@@ -164,6 +172,18 @@
                 let outcome = if *up { Outcome::Done } else { Outcome::ConnectFailed };
                 day.event(Event::Probed { server: ServerId(*server as u64), outcome, took: 1.0 });
             }
+            Step::Policy(aims, attempts, failures, most, weight) => {
+                let mut new = common::settings();
+                for (class, part) in new.classes.iter_mut().zip(aims) {
+                    class.aim *= part;
+                }
+                new.limits.attempts = *attempts;
+                new.ejection.failures = *failures;
+                new.retry.most = *most;
+                new.server_weights = [(ServerId(*attempts as u64), *weight)].into();
+                day.settings = new.clone();
+                day.event(Event::Policy(Box::new(new)));
+            }
             Step::Odd(n) => {
                 let (id, server) = (RequestId(n | 1 << 40), ServerId(*n));
                 let (outcome, took) = (Outcome::TimedOut, 3.0);
