Tell a leader that came back in its term from the one that it was before

Found by the lab: after all replicas were killed and started anew, the one that had led leads on in the same term, and its clock begins at nothing. Members keep the newest stamp by term and time, so they went on echoing stamps of the former process, which its heir did not count: every change was aborted as not staged, for as long as the group had run before.

Each start of a replica is counted on its disk, and stamps carry term and start in place of the term alone; order among terms stays as it was, and neither members nor the core change.

A test stops and starts all three replicas and proposes: it fails with the term alone (aborted, "not staged in time by a"), and passes now. Tests of control pass.

--- a/crates/control/src/edge/actor.rs
+++ b/crates/control/src/edge/actor.rs
@@ -110,15 +110,20 @@
     }
 }
 
+/// The bits of a stamp's term that tell apart the starts of one replica within a term.
+const STARTS_BITS: u32 = 24;
+
 /// The actor, to be run, and the way to it.
-pub fn new(replica: Replica<Agreement>, terms: Terms) -> (Handle, Actor) {
+pub fn new(replica: Replica<Agreement>, starts: u64, terms: Terms) -> (Handle, Actor) {
     let (sender, calls) = mpsc::channel(CALLS_MOST);
-    (Handle(sender), Actor { replica, terms, calls, start: Instant::now() })
+    (Handle(sender), Actor { replica, starts, terms, calls, start: Instant::now() })
 }
 
 /// See the module.
 pub struct Actor {
     replica: Replica<Agreement>,
+    /// How often the replica was started, this time too.
+    starts: u64,
     terms: Terms,
     calls: mpsc::Receiver<Call>,
     start: Instant,
@@ -187,6 +192,12 @@
     }
 }
 
+/// What a leader's stamps are told apart by. A replica that led when it ended may lead on in the same term when it is
+/// started anew, and its clock begins anew then: stamps of the term alone would be taken for those of another time.
+fn reign(term: u64, starts: u64) -> u64 {
+    (term << STARTS_BITS) | (starts & ((1 << STARTS_BITS) - 1))
+}
+
 /// One term that this replica leads.
 struct Term {
     number: u64,
@@ -208,7 +219,7 @@
         let now = ms(actor.start.elapsed());
         Self {
             number,
-            leader: Leader::new(actor.terms.clone(), number, now),
+            leader: Leader::new(actor.terms.clone(), reign(number, actor.starts), now),
             replica: actor.replica.clone(),
             session_ms: actor.terms.session_ms,
             start: actor.start,
--- a/crates/control/src/edge/mod.rs
+++ b/crates/control/src/edge/mod.rs
@@ -48,6 +48,8 @@
 const OUT_OF_TOUCH: Duration = Duration::from_secs(3);
 /// How often that is looked at.
 const TOUCH: Duration = Duration::from_millis(500);
+/// The record of how often the replica was started.
+const STARTS: &str = "starts";
 /// How long a stop waits for calls in flight.
 const STOP: Duration = Duration::from_secs(2);
 
@@ -134,12 +136,13 @@
         let mut place = ReplicaConfig::new(config.id, &config.cluster, config.address, config.peers.clone());
         place.heartbeat_ms = config.election.heartbeat_ms;
         place.election_ms = config.election.after_ms;
+        let starts = count_start(&store).await?;
         let replica = Replica::start(place, store.clone(), Agreement::new()).await?;
         let begun_with = replica.status().last.unwrap_or_default();
 
         let (stopping, _) = channel(false);
         let (touch, in_touch) = channel(false);
-        let (handle, actor) = actor::new(replica.clone(), config.terms.clone());
+        let (handle, actor) = actor::new(replica.clone(), starts, config.terms.clone());
         let hub = Hub::default();
         let mut tasks = JoinSet::new();
         let stop = stopping.subscribe();
@@ -217,6 +220,17 @@
     }
 }
 
+/// Counts the starts of a replica on its disk; this one's number.
+async fn count_start(store: &Store) -> Result<u64, ControlError> {
+    let store = store.clone();
+    let counted = tokio::task::spawn_blocking(move || {
+        let before = store.get(STARTS)?.and_then(|bytes| <[u8; 8]>::try_from(bytes).ok());
+        let starts = before.map_or(0, u64::from_le_bytes) + 1;
+        store.put(STARTS, &starts.to_le_bytes()).map(|()| starts)
+    });
+    Ok(counted.await.map_err(|_| ControlError::Ended("counts its starts"))??)
+}
+
 /// Runs a replica until SIGTERM or SIGINT.
 ///
 /// # Errors
--- a/crates/control/tests/edge.rs
+++ b/crates/control/tests/edge.rs
@@ -327,3 +327,21 @@
     assert!(answer.starts_with(b"HTTP/1.1 408"), "{}", String::from_utf8_lossy(&answer));
     assert_eq!(call(at, "GET", "/ready", "").await.status, StatusCode::OK);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_commits_under_a_leader_that_came_back_in_its_term() {
+    let mut group = Group::start(HASTY, "").await;
+    let mut node = Node::start(&group, "a", None).await;
+    // The node has stamps by the clocks of these processes; those that follow begin at nothing.
+    sleep(Duration::from_millis(2500)).await;
+    for id in 1..=3 {
+        group.stop(id).await;
+    }
+    for id in 1..=3 {
+        group.run(id).await;
+    }
+    group.leader().await;
+    let told = group.propose(0, POLICY).await;
+    assert_outcome(&told, StatusCode::OK, "committed");
+    node.until(|epoch| epoch == 1).await;
+}
