Judge requests by the policy that the fleet agrees on

Need: a change of policy has to take hold at every node or at none, also at one that is cut off, stopped or started anew. Shape: gate.rs asks member::Member with the time of each admission; agreed.rs beats to the leader, watches at any replica and carries out what the member says (a policy is checked over this node's settings and against its descriptors and memory); replica.rs is the calls, saved.rs the epoch on disk, replaced whole, hashed, written off the serving thread. Off unless the configuration has control. Rejected: a watch alone, which can't say when the leader last knew of us. Answers carry X-Policy-Epoch, held requests are refused with Retry-After, /ready says no.

--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use net::admin::Admin;
+use net::agreed::Joining;
 use net::clients::Clients;
 use net::config::{self, Config, ConfigError};
 use net::fault::Advice;
@@ -32,6 +33,8 @@
 /// How long before that the node closes what is still idle, and fails what is still open.
 const CLOSE_BEFORE: Duration = Duration::from_millis(700);
 const FAIL_BEFORE: Duration = Duration::from_millis(300);
+/// How long the last beat may take, which closes the session with the control group.
+const LEAVE: Duration = Duration::from_millis(500);
 /// How often idle connections are looked at, and a line on the node's state is logged.
 const SWEEP: Duration = Duration::from_millis(500);
 /// How often bans are looked at: well within the grace of a drain.
@@ -90,17 +93,23 @@
     };
     log::start();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    LocalSet::new().block_on(&runtime.map_err(StartError::Runtime)?, serve(config, listener))
+    let runtime = runtime.map_err(StartError::Runtime)?;
+    let ended = LocalSet::new().block_on(&runtime, serve(config, listener));
+    // A disk that hangs must not hold up the end.
+    runtime.shutdown_background();
+    ended
 }
 
-async fn serve(config: Config, listener: StdListener) -> Result<(), StartError> {
+async fn serve(mut config: Config, listener: StdListener) -> Result<(), StartError> {
     let caught = |kind| signal(kind).map_err(StartError::Signal);
     let (mut terminate, mut interrupt) = (caught(SignalKind::terminate())?, caught(SignalKind::interrupt())?);
     let hangup = caught(SignalKind::hangup())?;
     let (listener, address) = listen::take("listen", listener)?;
     let admin = config.admin.map(|at| listen::bind("admin_addr", at)).transpose()?;
     let admin = admin.map(|listener| listen::take("admin_addr", listener)).transpose()?;
-    let node = Node::new(config, Box::new(Tasks))?;
+    let joining = config.control.take().map(|control| Joining::new(&config, control)).transpose()?;
+    let node = Node::new(config, joining.as_ref().map(Joining::gate), Box::new(Tasks))?;
+    let membership = joining.map(|joining| joining.follow(&node));
     if let Some((listener, address)) = admin {
         log::line(format!("{} takes operators' calls at {address}", node.config.name));
         spawn_local(Admin::new(node.clone()).accept(listener));
@@ -124,6 +133,9 @@
         _ = interrupt.recv() => {}
     }
     stop(&node, &clients, listener).await;
+    if let Some(membership) = membership {
+        membership.leave(Instant::now() + LEAVE).await;
+    }
     Ok(())
 }
 
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -63,6 +63,8 @@
 const ESTIMATE: HeaderName = HeaderName::from_static("x-estimate");
 /// Marks a client's repeat.
 const RESENT: HeaderName = HeaderName::from_static("x-resent");
+/// Under which epoch a request was taken.
+const POLICY_EPOCH: HeaderName = HeaderName::from_static("x-policy-epoch");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 struct Client {
@@ -287,15 +289,32 @@
     }
 }
 
-/// Hands the request to the node and waits for its final answer.
+/// Takes a request in, if one may be taken right now, and waits for its final answer.
 async fn settle(node: &Rc<Node>, asked: Asked, remaining: Duration) -> Response<Outgoing> {
-    // A request's time counts from its last byte.
-    let came = Instant::now();
     let mut taken = node.metrics.take(asked.class);
     if !node.has_room() {
         taken.end = End::Overload;
         return refusal(0.0);
     }
+    let epoch = match node.admit() {
+        Ok(epoch) => epoch,
+        Err(stop) => {
+            log::trouble(|| format!("{}: refused, {}", asked.txn(), stop.words()));
+            taken.end = End::Overload;
+            return refusal(node.held_away());
+        }
+    };
+    let mut answer = answered(node, asked, remaining, taken).await;
+    if let Some(epoch) = epoch {
+        answer.headers_mut().insert(POLICY_EPOCH, HeaderValue::from(epoch));
+    }
+    answer
+}
+
+/// Hands the request to the node and waits for its final answer.
+async fn answered(node: &Rc<Node>, asked: Asked, remaining: Duration, taken: Taken) -> Response<Outgoing> {
+    // A request's time counts from its last byte.
+    let came = Instant::now();
     let (margin, guard) = margins(remaining);
     let (txn, passage) = (asked.txn().to_string(), asked.body.passage().cloned());
     let (id, mut answered) = node.request(asked, came + remaining - margin);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -6,10 +6,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
+use std::path::PathBuf;
 
 use endpoints::Update;
-use serde::de::{DeserializeOwned, Error as _};
-use serde::{Deserialize, Deserializer};
+use member::Start;
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
 use serde_json::{Map, Value};
 use thiserror::Error;
 use tulipmount::wire::{told, Told};
@@ -38,6 +40,20 @@
     pub known: Option<Update>,
     /// The settings.
     pub told: Told,
+    /// The control group whose policy it judges by, if there is one.
+    pub control: Option<Control>,
+}
+
+/// How a node finds its control group, and what it does without one.
+pub struct Control {
+    /// Where its replicas are.
+    pub replicas: Vec<SocketAddr>,
+    /// How it comes to its first epoch.
+    pub start: Start,
+    /// The folder in which it keeps the epoch that it judged by last.
+    pub folder: Option<PathBuf>,
+    /// The settings as they were given, which policies go over.
+    pub settings: Value,
 }
 
 /// Memory where the configuration names no limit.
@@ -48,6 +64,12 @@
 const SOCKETS_LEAST: u64 = 32;
 /// The most that are of use.
 const SOCKETS_MOST: u64 = 1 << 20;
+/// The most replicas of a control group.
+const REPLICAS_MOST: usize = 16;
+/// How long a start waits for a leader before the saved epoch counts, in milliseconds: where the configuration does
+/// not say, and at the most.
+const SAVED_AFTER_MS: f64 = 3000.0;
+const SAVED_AFTER_MOST: f64 = 3_600_000.0;
 
 /// The variable that names the file.
 const FILE: &str = "BALANCER_CONFIG";
@@ -125,18 +147,16 @@
 #[derive(Debug, Deserialize)]
 struct Fields {
     name: Option<String>,
-    #[serde(default, deserialize_with = "address")]
-    listen: Option<SocketAddr>,
-    #[serde(default, deserialize_with = "address")]
-    discovery: Option<SocketAddr>,
-    #[serde(default, deserialize_with = "address")]
-    admin_addr: Option<SocketAddr>,
-    #[serde(default, deserialize_with = "hex")]
-    seed: Option<u64>,
+    listen: Option<Address>,
+    discovery: Option<Address>,
+    admin_addr: Option<Address>,
+    seed: Option<Hex>,
     limits: Option<Limits>,
     known: Option<Update>,
     #[serde(default)]
     settings: Value,
+    control: Option<Group>,
+    state_dir: Option<PathBuf>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -145,30 +165,52 @@
     sockets: Option<u64>,
 }
 
+#[derive(Debug, Deserialize)]
+struct Group {
+    replicas: Vec<Address>,
+    #[serde(default)]
+    start: First,
+    saved_after_ms: Option<f64>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum First {
+    #[default]
+    Wait,
+    Saved,
+}
+
 /// What SIGHUP reads of the file.
 #[derive(Deserialize)]
 struct Moved {
-    #[serde(default, deserialize_with = "address")]
-    discovery: Option<SocketAddr>,
+    discovery: Option<Address>,
 }
 
-/// Text that has to be read further; `null` is none.
-fn text<'de, D: Deserializer<'de>, T>(
-    from: D,
-    expected: &str,
-    read: impl Fn(&str) -> Option<T>,
-) -> Result<Option<T>, D::Error> {
-    let Some(words) = Option::<String>::deserialize(from)? else { return Ok(None) };
-    let read = read(&words);
-    read.map(Some).ok_or_else(|| D::Error::custom(format!("{expected} expected, not {words:?}")))
-}
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(try_from = "String")]
+struct Address(SocketAddr);
 
-fn address<'de, D: Deserializer<'de>>(from: D) -> Result<Option<SocketAddr>, D::Error> {
-    text(from, "IP address and port", |words| words.parse().ok())
+impl TryFrom<String> for Address {
+    type Error = String;
+
+    fn try_from(words: String) -> Result<Self, String> {
+        let read = words.parse().map(Self);
+        read.map_err(|_| format!("IP address and port expected, not {words:?}"))
+    }
 }
 
-fn hex<'de, D: Deserializer<'de>>(from: D) -> Result<Option<u64>, D::Error> {
-    text(from, "hex digits", |words| u64::from_str_radix(words, 16).ok())
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(try_from = "String")]
+struct Hex(u64);
+
+impl TryFrom<String> for Hex {
+    type Error = String;
+
+    fn try_from(words: String) -> Result<Self, String> {
+        let read = u64::from_str_radix(&words, 16).map(Self);
+        read.map_err(|_| format!("hex digits expected, not {words:?}"))
+    }
 }
 
 /// Reads the configuration of this process.
@@ -185,7 +227,7 @@
 /// Names what is wrong.
 pub fn moved() -> Result<SocketAddr, ConfigError> {
     let moved: Moved = read(file()?, |_| None)?;
-    moved.discovery.ok_or(ConfigError::Missing { field: "discovery" })
+    moved.discovery.map(|Address(at)| at).ok_or(ConfigError::Missing { field: "discovery" })
 }
 
 fn file() -> Result<Map<String, Value>, ConfigError> {
@@ -219,20 +261,57 @@
     let missing = |field| ConfigError::Missing { field };
     let limits = fields.limits.unwrap_or_default();
     let known = fields.known.map(Update::checked).transpose();
+    let Address(listen) = fields.listen.ok_or(missing("listen"))?;
+    let Address(discovery) = fields.discovery.ok_or(missing("discovery"))?;
+    let Hex(seed) = fields.seed.ok_or(missing("seed"))?;
+    let told = told(&fields.settings).map_err(|e| ConfigError::Settings(e.to_string()))?;
+    let control = fields.control.map(|group| control(group, listen, fields.state_dir, fields.settings));
     Ok(Config {
         name: fields.name.ok_or(missing("name"))?,
-        listen: fields.listen.ok_or(missing("listen"))?,
+        listen,
         inherited: env(INHERITED).map(|v| descriptor(&v)).transpose()?,
-        admin: fields.admin_addr,
-        discovery: fields.discovery.ok_or(missing("discovery"))?,
-        seed: fields.seed.ok_or(missing("seed"))?,
+        admin: fields.admin_addr.map(|Address(at)| at),
+        discovery,
+        seed,
         sockets: sockets(limits.sockets.unwrap_or(SOCKETS))?,
         memory: memory(limits.memory_mb.unwrap_or(MEMORY_MB))?,
         known: known.map_err(|e| fault("known", e.to_string()))?,
-        told: told(&fields.settings).map_err(|e| ConfigError::Settings(e.to_string()))?,
+        told,
+        control: control.transpose()?,
     })
 }
 
+fn control(
+    group: Group,
+    listen: SocketAddr,
+    folder: Option<PathBuf>,
+    settings: Value,
+) -> Result<Control, ConfigError> {
+    let replicas: Vec<SocketAddr> = group.replicas.into_iter().map(|Address(at)| at).collect();
+    if !(1..=REPLICAS_MOST).contains(&replicas.len()) {
+        return Err(fault(
+            "control.replicas",
+            format!("1 to {REPLICAS_MOST} expected, not {}", replicas.len()),
+        ));
+    }
+    let after_ms = group.saved_after_ms.unwrap_or(SAVED_AFTER_MS);
+    if !(0.0..=SAVED_AFTER_MOST).contains(&after_ms) {
+        let words = format!("0 to {SAVED_AFTER_MOST} expected, not {after_ms}");
+        return Err(fault("control.saved_after_ms", words));
+    }
+    let start = match group.start {
+        First::Wait => Start::Wait,
+        First::Saved if folder.is_some() => Start::Saved { after_ms },
+        First::Saved => return Err(fault("state_dir", "missing, and control.start is \"saved\"".into())),
+    };
+    if listen.ip().is_unspecified() {
+        let words =
+            format!("with control, an address that the replicas can reach expected, not {}", listen.ip());
+        return Err(fault("listen", words));
+    }
+    Ok(Control { replicas, start, folder, settings })
+}
+
 fn fault(field: &str, words: String) -> ConfigError {
     ConfigError::Field { field: field.to_string(), words }
 }
@@ -270,7 +349,7 @@
         each_has_its_advice(|before| match before {
             None => Some(NoFile),
             Some(NoFile) => Some(Unread { path: "/x".into(), error: io::ErrorKind::NotFound.into() }),
-            Some(Unread { .. }) => Some(NotJson(serde_json::Error::custom("no\nobject"))),
+            Some(Unread { .. }) => Some(NotJson(serde::de::Error::custom("no\nobject"))),
             Some(NotJson(_)) => Some(fault("listen", "what".into())),
             Some(Field { field, .. }) if field == "listen" => Some(fault("BALANCER_LISTEN", "what".into())),
             Some(Field { field, .. }) if field == "BALANCER_LISTEN" => Some(fault(INHERITED, "what".into())),
@@ -281,6 +360,35 @@
         });
     }
 
+    #[test]
+    fn a_control_group_is_read_or_its_field_is_named() {
+        let with = |control: Value, folder: Value| {
+            let settings = json!({"Classes": [], "Limits": {"AttemptsCap": 1, "ConnectTimeout": 1.0}, "Me": 0,
+                "PeersTotal": 1, "Contract": {"ColdShare": 0.1, "WarmWithin": 1.0, "FallMultiple": 3.0, "Fall": 1.0}});
+            let file = json!({"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
+                "settings": settings, "control": control, "state_dir": folder});
+            let file = file.as_object().expect("an object").clone();
+            parse(file, |_| None).map_err(|e| e.to_string())
+        };
+        let at = json!(["127.0.0.1:9301"]);
+        let control = |c| with(c, json!("/state")).map(|c| c.control.expect("configured"));
+        assert!(with(Value::Null, json!("/state")).expect("good").control.is_none());
+        assert_eq!(control(json!({"replicas": at})).expect("good").start, Start::Wait);
+        let saved = control(json!({"replicas": at, "start": "saved", "saved_after_ms": 500})).expect("good");
+        assert_eq!((saved.start, saved.replicas.len()), (Start::Saved { after_ms: 500.0 }, 1));
+        for (field, spoilt) in [
+            ("control.replicas", json!({"replicas": []})),
+            ("control.replicas[0]", json!({"replicas": ["nowhere"]})),
+            ("control.start", json!({"replicas": at, "start": "soon"})),
+            ("control.saved_after_ms", json!({"replicas": at, "saved_after_ms": -1})),
+        ] {
+            let words = control(spoilt).err().expect("refused");
+            assert!(words.starts_with(&format!("{field}: ")), "{field}: {words}");
+        }
+        let words = with(json!({"replicas": at, "start": "saved"}), Value::Null).err().expect("no folder");
+        assert!(words.starts_with("state_dir: "), "{words}");
+    }
+
     /// The environment goes before the file, also before what can't be read there, and is named where it is at fault.
     #[test]
     fn the_environment_goes_before_the_file() {
@@ -292,7 +400,7 @@
         };
         let (listen, found) = (("BALANCER_LISTEN", "127.0.0.1:1"), ("BALANCER_DISCOVERY", "127.0.0.1:2"));
         let fields = read(&[listen, found]).expect("all can be read");
-        assert_eq!((fields.name.as_deref(), fields.listen.map(|a| a.port())), (Some("n0"), Some(1)));
+        assert_eq!((fields.name.as_deref(), fields.listen.map(|a| a.0.port())), (Some("n0"), Some(1)));
         assert!(read(&[found]).expect_err("the file's").starts_with("listen: "));
         let words = read(&[listen, ("BALANCER_DISCOVERY", "")]).expect_err("the variable's");
         assert_eq!(words, "BALANCER_DISCOVERY: IP address and port expected, not \"\"");
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -45,8 +45,15 @@
     }
 
     /// All figures, one a line. `classes` are the names; `targets` and `disabled` how many servers the list has,
-    /// and how many of those are avoided.
-    pub fn text(&self, classes: &[String], targets: usize, disabled: usize) -> String {
+    /// and how many of those are avoided; `policy` the epoch that requests are judged by, if one is known, and
+    /// whether none are taken, where there is a control group.
+    pub fn text(
+        &self,
+        classes: &[String],
+        targets: usize,
+        disabled: usize,
+        policy: Option<(Option<u64>, bool)>,
+    ) -> String {
         let mut text = String::new();
         let mut line = |name: &str, value: u64| {
             // A string takes all that is written to it.
@@ -61,6 +68,12 @@
         line("concurrent", self.concurrent.get());
         line("targets", targets as u64);
         line("targets_disabled", disabled as u64);
+        if let Some((epoch, held)) = policy {
+            if let Some(epoch) = epoch {
+                line("policy.epoch", epoch);
+            }
+            line("policy.held", held.into());
+        }
         text
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,28 +1,34 @@
 //! The node round the decision module: sockets in, sockets out, no decisions.
 //!
 //! A file uses only files that come before it in this order:
-//! - `fault`, `log`, `metrics`, `bans`, `config`, `listen`: each alone with its subject,
+//! - `fault`, `log`, `metrics`, `bans`, `config`, `listen`, `saved`: each alone with its subject,
 //! - `bodies`, `sock`, `request`: what passes through, and on what,
 //! - `pool`: connections to servers,
+//! - `gate`: whether a request may be taken, by what the fleet has agreed,
 //! - `node`: the owner of the module; what it decides it hands to its [`node::Hands`],
 //! - `servers`, `discovery`: what is done for it, and told to it,
 //! - `hands`: those two as the node's hands,
+//! - `replica`, `agreed`: the node's side of the agreed policy,
 //! - `clients`, `admin`: who calls it; the program joins these with the rest.
 
 pub mod admin;
+pub mod agreed;
 pub mod bans;
 pub mod bodies;
 pub mod clients;
 pub mod config;
 pub mod discovery;
 pub mod fault;
+pub mod gate;
 pub mod hands;
 pub mod listen;
 pub mod log;
 pub mod metrics;
 pub mod node;
 pub mod pool;
+pub mod replica;
 pub mod request;
+pub mod saved;
 pub mod servers;
 pub mod sock;
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,7 +1,7 @@
 //! The owner of the decision module: events in, actions out, the table of requests, the clock and the timer.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -9,16 +9,20 @@
 
 use endpoints::{Action as Do, CallId, Follower, Health, Mode, Ms, Update};
 use hyper::StatusCode;
+use member::Epoch;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
+use tulipmount::wire::Told;
 use tulipmount::{
-    Action, Balancer, Discovery, Entry, Event, Listed, Millis, Outcome, RequestId, ServerId, SettingsError,
+    Action, Balancer, Discovery, Entry, Event, Listed, Millis, Outcome, RequestId, ServerId, Settings,
+    SettingsError,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::bans::{BanError, Bans, Change};
 use super::bodies::Budget;
 use super::config::Config;
+use super::gate::{Gate, Stop};
 use super::log;
 use super::metrics::Metrics;
 use super::pool::Pool;
@@ -35,6 +39,10 @@
 const ASIDE: usize = 24;
 /// Turns of the runtime that what has come needs to be read: its connection, and the call on it.
 const READ_FIRST: usize = 3;
+/// What an open request takes of the memory that bodies leave, in bytes: its heads, mostly.
+const OPEN_BYTES: usize = 16 * 1024;
+/// For how long whoever is refused because of the gate should stay away, in milliseconds: a beat or two.
+const HELD_AWAY: Millis = 500.0;
 /// How often it is looked whether the node can serve.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -125,9 +133,16 @@
     follower: Follower,
     /// The calls to discovery that are out.
     calls: BTreeMap<CallId, AbortHandle>,
+    /// The servers that the agreed policy takes out, by name.
+    policy_bans: BTreeSet<String>,
 }
 
 impl State {
+    /// Is a server out, by operators' calls or by the agreed policy?
+    fn out(&self, name: &str) -> bool {
+        self.bans.hold(name) || self.policy_bans.contains(name)
+    }
+
     /// Is a server of that name in the list?
     fn lists(&self, name: &str) -> bool {
         self.hosts.get(&ServerId(number_of(name))).is_some_and(|h| h.name == name)
@@ -148,6 +163,10 @@
     pub closing: Cell<Option<Instant>>,
     /// Where discovery is now.
     pub discovery: Cell<SocketAddr>,
+    /// Whether requests may be taken, where there is a control group.
+    gate: Option<Rc<Gate>>,
+    /// The most requests that may be open.
+    open_cap: Cell<usize>,
     hands: Box<dyn Hands>,
     clock: Clock,
     informed: Cell<bool>,
@@ -165,8 +184,12 @@
     ///
     /// # Errors
     /// Where the module refuses the settings.
-    pub fn new(mut config: Config, hands: Box<dyn Hands>) -> Result<Rc<Self>, SettingsError> {
-        let balancer = Balancer::new(config.told.settings.clone(), config.seed)?;
+    pub fn new(
+        mut config: Config,
+        gate: Option<Rc<Gate>>,
+        hands: Box<dyn Hands>,
+    ) -> Result<Rc<Self>, SettingsError> {
+        let balancer = Balancer::new(settings(&config.told), config.seed)?;
         let known = config.known.take();
         let mode = match config.told.settings.discovery {
             Discovery::Pushed => Mode::Pushed,
@@ -185,14 +208,17 @@
             bans: Bans::new(folder, &config.name, cold),
             follower: Follower::new(mode, known.as_ref(), 0),
             calls: BTreeMap::new(),
+            policy_bans: BTreeSet::new(),
         };
         let node = Rc::new(Self {
             pool: Pool::new(&config),
             budget: Budget::new(config.memory / 3 * 2),
             metrics: Metrics::new(config.told.classes.len()),
             discovery: Cell::new(config.discovery),
+            open_cap: Cell::new(config.told.open_cap),
             config,
             closing: Cell::new(None),
+            gate,
             hands,
             clock: Clock::new(),
             informed: Cell::new(false),
@@ -201,6 +227,7 @@
         });
         let saved = known.unwrap_or(Update { version: 0, whole: true, hosts: Vec::new() });
         node.take_list(saved, true);
+        node.ban(node.config.told.bans.iter().cloned().collect());
         node.look_at_bans();
         node.share_memory();
         node.discover(endpoints::Event::Tick);
@@ -237,9 +264,9 @@
         }
     }
 
-    /// Can the node serve? Once discovery has answered, or soon with a saved list.
+    /// Can the node serve? Once discovery has answered, or soon with a saved list, and while its gate is open.
     pub fn ready(&self) -> bool {
-        if self.closing.get().is_some() {
+        if self.closing.get().is_some() || self.admit().is_err() {
             return false;
         }
         let late = self.clock.start.elapsed() >= READY_WITHIN;
@@ -307,6 +334,46 @@
         }
     }
 
+    // ---- Policy ----
+
+    /// Whether a request may be taken right now, and under which epoch; none where there is no control group.
+    ///
+    /// # Errors
+    /// Why not.
+    pub fn admit(&self) -> Result<Option<Epoch>, Stop> {
+        self.gate.as_ref().map(|gate| gate.admit()).transpose()
+    }
+
+    /// How long a client should stay away that was refused because of the gate.
+    pub fn held_away(&self) -> Millis {
+        self.config.told.settings.limits.max_retry_after.min(HELD_AWAY)
+    }
+
+    /// How many open requests a policy may ask this process to hold: each has a connection, and some memory of what
+    /// bodies leave; what its own settings ask for is borne.
+    pub fn room(&self) -> usize {
+        let connections = self.descriptors() * 4 / 7;
+        connections.min(self.config.memory / 3 / OPEN_BYTES).max(self.config.told.open_cap)
+    }
+
+    /// Judges by a policy from now on; what has been taken goes on under that by which it was.
+    pub fn judge_by(self: &Rc<Self>, told: Told) {
+        self.open_cap.set(told.open_cap);
+        self.feed(Event::Policy(Box::new(settings(&told))));
+        self.ban(told.bans.into_iter().collect());
+    }
+
+    /// Has those servers out, and no other ones but those that operators' calls took out.
+    fn ban(self: &Rc<Self>, bans: BTreeSet<String>) {
+        let before = std::mem::replace(&mut self.state.borrow_mut().policy_bans, bans.clone());
+        for name in bans.difference(&before).filter(|name| !self.state.borrow().bans.hold(name)) {
+            self.out(name, ServerId(number_of(name)));
+        }
+        for name in before.difference(&bans).filter(|name| !self.state.borrow().bans.hold(name)) {
+            self.back(name, ServerId(number_of(name)), SystemTime::now());
+        }
+    }
+
     // ---- Events ----
 
     /// Hands an event to the module and does what it says. Events that come of that wait their turn.
@@ -388,14 +455,20 @@
         let heard = state.follower.heard().map_or("never heard".into(), |at| {
             format!("heard {:.1} s ago", self.clock.ms().saturating_sub(at) as f64 / 1000.0)
         });
+        let policy = match self.admit() {
+            Ok(None) => String::new(),
+            Ok(Some(epoch)) => format!(", epoch {epoch}"),
+            Err(stop) => format!(", held: {}", stop.words()),
+        };
         let (requests, module) = (state.requests.len(), state.balancer.status());
-        format!("{requests} requests, {connections} to servers, list {version} {heard}, {module}")
+        format!("{requests} requests, {connections} to servers, list {version} {heard}, {module}{policy}")
     }
 
     /// The figures.
     pub fn figures(&self) -> String {
         let state = self.state.borrow();
-        self.metrics.text(&self.config.told.classes, state.hosts.len(), state.balancer.avoided())
+        let policy = self.gate.as_ref().map(|gate| (gate.member.borrow().active(), gate.admit().is_err()));
+        self.metrics.text(&self.config.told.classes, state.hosts.len(), state.balancer.avoided(), policy)
     }
 
     /// Fails all that is still open: the node ends, and an answer is better than a reset.
@@ -409,7 +482,7 @@
 
     /// May one more request be taken in?
     pub fn has_room(&self) -> bool {
-        self.state.borrow().requests.len() < self.config.told.open_cap
+        self.state.borrow().requests.len() < self.open_cap.get()
     }
 
     /// Nothing is owed any more: the client left, or has been answered in the module's place.
@@ -638,7 +711,7 @@
         let server = ServerId(number_of(name));
         {
             let mut state = self.state.borrow_mut();
-            if !state.lists(name) && !state.bans.hold(name) {
+            if !state.lists(name) && !state.out(name) {
                 return false;
             }
             state.bans.take_out(name);
@@ -659,9 +732,9 @@
             (state.lists(name), state.bans.give_back(name)?)
         };
         if was_out {
-            self.back(name, server, SystemTime::now());
+            self.unless_banned(name, server, SystemTime::now());
         }
-        Ok(listed || was_out)
+        Ok(listed || was_out || self.state.borrow().out(name))
     }
 
     /// Follows the bans that another process of this node has made or lifted.
@@ -671,7 +744,7 @@
             let server = ServerId(number_of(&name));
             match change {
                 Change::Out => self.out(&name, server),
-                Change::Back(at) => self.back(&name, server, at),
+                Change::Back(at) => self.unless_banned(&name, server, at),
             }
         }
     }
@@ -683,6 +756,15 @@
         self.feed(Event::Disable(server));
     }
 
+    /// It is back where only operators' calls had it out: a ban of the agreed policy holds until a policy lifts it.
+    fn unless_banned(self: &Rc<Self>, name: &str, server: ServerId, at: SystemTime) {
+        if self.state.borrow().policy_bans.contains(name) {
+            log::line(format!("{name} stays out of use: the agreed policy bans it"));
+        } else {
+            self.back(name, server, at);
+        }
+    }
+
     fn back(self: &Rc<Self>, name: &str, server: ServerId, at: SystemTime) {
         log::line(format!("{name} is back in use"));
         let unix = at.duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
@@ -692,7 +774,7 @@
     /// Where a server listens, if something new may be sent to it.
     pub fn dial(&self, server: ServerId) -> Option<SocketAddr> {
         let state = self.state.borrow();
-        let may = |h: &&Host| h.state == Listed::Up && !state.bans.hold(&h.name);
+        let may = |h: &&Host| h.state == Listed::Up && !state.out(&h.name);
         state.hosts.get(&server).filter(may).map(|h| h.dial)
     }
 }
@@ -706,6 +788,12 @@
     }
 }
 
+/// The module's part of the settings, which knows servers by their numbers.
+fn settings(told: &Told) -> Settings {
+    let weights = told.weights.iter().map(|(name, factor)| (ServerId(number_of(name)), *factor));
+    Settings { server_weights: weights.collect(), ..told.settings.clone() }
+}
+
 fn give(open: &mut Open, answer: Answer) {
     if let Some(to) = open.answer.take() {
         // A client that has just left needs no answer.
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -259,14 +259,6 @@
 
 // ---- Maintenance ----
 
-/// A folder of its own for what outlives a process.
-fn folder(test: &str) -> String {
-    let folder = format!("{}/{test}-{}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
-    let _ = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).expect("a folder");
-    folder
-}
-
 fn two_servers() -> ([Peer; 2], Registry) {
     let servers = [Peer::good("s0"), Peer::good("s/1")];
     let hosts = [host("s0", servers[0].address, "active", 1), host("s/1", servers[1].address, "active", 1)];
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -54,7 +54,7 @@
 }
 
 /// Reads one message; `None` where the connection ends.
-fn read_message(from: &mut BufReader<TcpStream>, conn: usize) -> Option<Message> {
+pub fn read_message(from: &mut BufReader<TcpStream>, conn: usize) -> Option<Message> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         if from.read_line(&mut head).ok()? == 0 {
@@ -360,6 +360,14 @@
     config
 }
 
+/// A folder of its own for what outlives a process.
+pub fn folder(test: &str) -> String {
+    let folder = format!("{}/{test}-{}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
 pub struct Node {
     child: Child,
     /// Its configuration file.
@@ -496,14 +504,28 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let killed = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(killed.expect("kill runs").success());
     }
 
     /// How many file descriptors the node holds.
     pub fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
+        descriptors(&self.child).len()
+    }
+
+    /// How many of them it has opened itself.
+    pub fn opened(&self) -> usize {
+        // Whatever stands open in the process that runs the tests, and is passed on to its children.
+        let mut child = Command::new("sleep").arg("60").stdin(Stdio::null()).spawn().expect("it runs");
+        let passed_on = descriptors(&child);
+        child.kill().and_then(|()| child.wait()).expect("it ran");
+        descriptors(&self.child).iter().filter(|to| !passed_on.contains(to)).count()
+    }
+
+    /// How many threads the node has.
+    pub fn threads(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("it runs").count()
     }
 
     /// The memory that the node holds, in KiB.
@@ -523,6 +545,11 @@
     }
 }
 
+fn descriptors(process: &Child) -> Vec<std::path::PathBuf> {
+    let files = std::fs::read_dir(format!("/proc/{}/fd", process.id())).expect("it runs");
+    files.flatten().filter_map(|file| std::fs::read_link(file.path()).ok()).collect()
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         let _ = self.child.kill();
