Have the lab play a control group, with its faults and the referee's rules on epochs

An experiment with [control] starts real replicas beside the nodes, which are told of them. New faults: policy (operators ask for one and go on asking until somebody says what became of it), replica-kill, replica-stop, replica-restart (by ids or which = "leader") and group-lost. Every process is ended by id, also on errors.

The referee goes by the X-Policy-Epoch of answers, and takes for a breach only what is one at each moment between a client's send and its answer: nothing is admitted under an epoch for longer than the promise once a newer one is in force (mixed), nothing under one that no change has become (aborted), no acknowledged change is lost (lost), no node goes back (backward). Each is seen broken by a scripted node or group in tests/referee.rs, and fair ones break none.

result.json and the table tell for each change how long until the operator was told, until it was active everywhere, and for how long two were in force; how long nothing could be written after the leader was struck; the share held back.

--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -137,7 +137,9 @@
             | Out::Signal(..)
             | Out::Reach { .. }
             | Out::Drop { .. }
-            | Out::EndWatches(_) => {}
+            | Out::EndWatches(_)
+            | Out::Strike(_)
+            | Out::Heal(_) => {}
         }
     }
 
--- a/crates/lab/src/bin/scripted-node.rs
+++ b/crates/lab/src/bin/scripted-node.rs
@@ -35,6 +35,10 @@
     turn: Cell<usize>,
     idle: RefCell<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
     hoard: RefCell<Vec<Vec<u8>>>,
+    /// Its name, where it is to stand alone.
+    name: String,
+    /// The newest agreed epoch and how many changes have ended, where a control group tells.
+    agreed: Cell<Option<(u64, usize)>>,
 }
 
 fn main() -> Result<(), Failure> {
@@ -56,9 +60,14 @@
         turn: Cell::new(0),
         idle: RefCell::default(),
         hoard: RefCell::default(),
+        name: config["name"].as_str().unwrap_or_default().to_string(),
+        agreed: Cell::new(None),
     });
     let listener = TcpListener::bind(address("listen")?).await?;
     spawn_local(node.clone().follow(address("discovery")?));
+    if let Some(replica) = config["control"]["replicas"][0].as_str() {
+        spawn_local(node.clone().ask_group(replica.parse()?));
+    }
     loop {
         let (stream, _) = listener.accept().await?;
         let node = node.clone();
@@ -80,6 +89,36 @@
         }
     }
 
+    /// Asks the control group now and then what is agreed.
+    async fn ask_group(self: Rc<Self>, replica: SocketAddr) {
+        loop {
+            if let Err(error) = self.learn(replica).await {
+                eprintln!("control: {error}");
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn learn(&self, replica: SocketAddr) -> Result<(), Failure> {
+        let answer = self.send(Some(replica), Request::get("/v1/policy").body(Full::default())?).await?;
+        let told: Value = serde_json::from_slice(&answer.into_body().collect().await?.to_bytes())?;
+        let (known, _) = self.agreed.get().unwrap_or_default();
+        let ended = told["ended"].as_array().map_or(0, Vec::len);
+        self.agreed.set(Some((known.max(told["epoch"].as_u64().unwrap_or(0)), ended)));
+        Ok(())
+    }
+
+    /// The epoch that a request is admitted under.
+    fn epoch(&self) -> Option<u64> {
+        let (epoch, ended) = self.agreed.get()?;
+        Some(match self.script.as_str() {
+            "lag" if self.name == "n1" => 0,
+            "early" if ended > 0 => epoch + 1,
+            "back" if self.turn.get().is_multiple_of(2) => 0,
+            _ => epoch,
+        })
+    }
+
     async fn watch(&self, discovery: SocketAddr) -> Result<(), Failure> {
         let (mut send, conn) = handshake(TokioIo::new(TcpStream::connect(discovery).await?)).await?;
         spawn_local(conn);
@@ -130,6 +169,15 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Answer, std::io::Error> {
+        let epoch = self.epoch();
+        let mut answer = self.serve(request).await?;
+        if let Some(epoch) = epoch {
+            answer.headers_mut().insert("x-policy-epoch", epoch.into());
+        }
+        Ok(answer)
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Result<Answer, std::io::Error> {
         if request.uri().path() == "/ready" {
             let ready = !self.hosts.borrow().is_empty();
             return Ok(plain(
--- /dev/null
+++ b/crates/lab/src/bin/scripted-replica.rs
@@ -0,0 +1,102 @@
+//! A control group of one that breaks a rule, told by the name that it is started under (`scripted-replica-forget` and
+//! so on), to see that the referee sees it. It keeps nothing on a disk and asks no node.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use member::{Abort, Agreed, ChangeId, Ended, Policy};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::task::{spawn_local, LocalSet};
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+type Answer = Response<Full<Bytes>>;
+
+/// How long the script `forget` knows what it has committed.
+const KNOWS: Duration = Duration::from_millis(1000);
+
+struct Replica {
+    script: String,
+    agreed: RefCell<(Agreed, Instant)>,
+}
+
+#[derive(Deserialize)]
+struct Proposal {
+    base: u64,
+    policy: Policy,
+}
+
+fn main() -> Result<(), Failure> {
+    let own = std::env::args().next().unwrap_or_default();
+    let script = own.rsplit('-').next().unwrap_or_default().to_string();
+    let file = std::env::args().nth(3).ok_or("control --config FILE expected")?;
+    let config: toml::Table = std::fs::read_to_string(file)?.parse()?;
+    let listen = config.get("listen").and_then(toml::Value::as_str).ok_or("listen is missing")?.parse()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(script, listen))
+}
+
+async fn serve(script: String, listen: SocketAddr) -> Result<(), Failure> {
+    let agreed = Agreed { version: 1, epoch: 0, policy: Policy::default(), change: None, ended: Vec::new() };
+    let replica = Rc::new(Replica { script, agreed: RefCell::new((agreed, Instant::now())) });
+    let listener = TcpListener::bind(listen).await?;
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let replica = replica.clone();
+        spawn_local(async move {
+            let service = service_fn(|request| replica.answer(request));
+            // Whoever breaks off has no more to say.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+impl Replica {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Answer, Failure> {
+        let (status, words) = match (request.method(), request.uri().path()) {
+            (&Method::GET, "/ready") => (StatusCode::OK, json!({})),
+            (&Method::GET, "/v1/status") => (StatusCode::OK, json!({"replica": {"role": "leader"}})),
+            (&Method::GET, "/v1/policy") => (StatusCode::OK, serde_json::to_value(self.agreed())?),
+            (&Method::PUT, "/v1/policy") => {
+                let body = request.into_body().collect().await?.to_bytes();
+                self.propose(serde_json::from_slice(&body)?)
+            }
+            _ => (StatusCode::NOT_FOUND, json!({})),
+        };
+        let mut answer = Response::new(Full::new(Bytes::from(words.to_string())));
+        *answer.status_mut() = status;
+        Ok(answer)
+    }
+
+    fn agreed(&self) -> Agreed {
+        let (agreed, since) = &*self.agreed.borrow();
+        let forgets = self.script == "forget" && since.elapsed() > KNOWS;
+        Agreed { epoch: if forgets { 0 } else { agreed.epoch }, ..agreed.clone() }
+    }
+
+    fn propose(&self, proposal: Proposal) -> (StatusCode, serde_json::Value) {
+        let (agreed, since) = &mut *self.agreed.borrow_mut();
+        if proposal.base != agreed.epoch {
+            return (StatusCode::CONFLICT, json!({"error": "stale"}));
+        }
+        agreed.version += 1;
+        let aborted = (self.script == "abort").then_some(Abort::Operator);
+        let done = aborted.is_none();
+        agreed.ended.push(Ended { id: ChangeId(agreed.version), epoch: agreed.epoch + 1, aborted });
+        if !done {
+            return (StatusCode::CONFLICT, json!({"error": "aborted"}));
+        }
+        (agreed.epoch, agreed.policy, *since) = (agreed.epoch + 1, proposal.policy, Instant::now());
+        (StatusCode::OK, json!({"epoch": agreed.epoch}))
+    }
+}
--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -120,6 +120,10 @@
     pub garbled: f64,
     /// Which way of a cut.
     pub way: Option<Way>,
+    /// The policy that is asked for.
+    pub policy: serde_json::Map<String, serde_json::Value>,
+    /// It strikes the replica that leads when it begins.
+    pub leader: bool,
 }
 
 /// How the list reaches the nodes.
@@ -229,7 +233,8 @@
             capacity,
         };
         let mut rng = stream(seed, Stream::Faults);
-        draw.faults = plan.faults.iter().map(|f| draw.fault(f.get_ref(), &mut rng)).collect();
+        let replicas = plan.control.as_ref().map_or(0, |c| c.get_ref().replicas);
+        draw.faults = plan.faults.iter().map(|f| draw.fault(f.get_ref(), replicas, &mut rng)).collect();
         draw.arrivals = draw.arrive(plan, &mut stream(seed, Stream::Arrivals));
         draw.guess(plan, &mut stream(seed, Stream::Guesses));
         draw
@@ -240,23 +245,28 @@
         stream(self.seed, Stream::Network)
     }
 
-    fn fault(&self, fault: &Fault, rng: &mut Pcg64) -> FaultSpec {
+    fn fault(&self, fault: &Fault, replicas: usize, rng: &mut Pcg64) -> FaultSpec {
         let zone = fault.zone.as_ref().and_then(|z| self.zones.iter().position(|name| name == z));
         let parties: Vec<usize> = match fault.kind {
-            Trouble::Kill | Trouble::Restart | Trouble::Stop | Trouble::Crowd => self.nodes.clone(),
+            kind if kind.of_nodes() => self.nodes.clone(),
+            kind if kind.of_replicas() => vec![0; replicas],
             Trouble::Cut
             | Trouble::BreakLinks
             | Trouble::Narrow
             | Trouble::ListOutage
             | Trouble::StaleList
             | Trouble::ReorderedList
-            | Trouble::Burst => Vec::new(),
+            | Trouble::Burst
+            | Trouble::Policy
+            | Trouble::GroupLost => Vec::new(),
             _ => self.servers.iter().map(|s| s.zone).collect(),
         };
         let mut targets: Vec<usize> =
             (0..parties.len()).filter(|n| zone.is_none_or(|zone| parties[*n] == zone)).collect();
         if let Some(ids) = &fault.ids {
-            targets.retain(|n| ids.contains(n));
+            // Replicas count from 1.
+            let first = usize::from(fault.kind.of_replicas());
+            targets.retain(|n| ids.contains(&(n + first)));
         }
         targets.shuffle(rng);
         if let Some(share) = fault.share {
@@ -275,6 +285,8 @@
             slower: ms(fault.slower_ms.unwrap_or(0.0)),
             garbled: fault.garbled.unwrap_or(0.0),
             way: fault.way,
+            policy: fault.policy.clone().unwrap_or_default(),
+            leader: fault.which.is_some(),
         }
     }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod compare;
 pub mod curve;
 pub mod draw;
+pub mod epochs;
 pub mod error;
 pub mod listing;
 pub mod live;
--- a/crates/lab/src/live/address.rs
+++ b/crates/lab/src/live/address.rs
@@ -14,6 +14,9 @@
 const NODES: u8 = 1;
 const LISTS: u8 = 8;
 const SERVERS: u8 = 32;
+/// Replicas of the control group.
+const REPLICAS: u8 = 16;
+const CONTROL_PORT: u16 = 9_300;
 /// Blocks of 250 addresses that each zone's servers have.
 const SERVER_BLOCKS: u8 = 8;
 const IN_BLOCK: usize = 250;
@@ -72,6 +75,11 @@
         self.at(LISTS, node, LIST_PORT)
     }
 
+    /// Where a replica of the control group listens.
+    pub fn replica(self, replica: usize) -> SocketAddr {
+        self.at(REPLICAS, replica, CONTROL_PORT)
+    }
+
     /// Where the nodes of a zone reach a server.
     pub fn server(self, server: usize, zone: usize) -> SocketAddr {
         self.at(SERVERS + SERVER_BLOCKS * zone as u8, server, PORT)
@@ -81,7 +89,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::plan::{NODES_MOST, SERVERS_MOST, ZONES_MOST};
+    use crate::plan::{NODES_MOST, REPLICAS_MOST, SERVERS_MOST, ZONES_MOST};
     use std::collections::BTreeSet;
 
     #[test]
@@ -99,6 +107,9 @@
                 assert!(seen.insert(a.server(server, zone).ip()));
             }
         }
+        for replica in 0..REPLICAS_MOST {
+            assert!(seen.insert(a.replica(replica).ip()));
+        }
         assert!(seen.iter().all(std::net::IpAddr::is_loopback));
     }
 }
--- a/crates/lab/src/live/clients.rs
+++ b/crates/lab/src/live/clients.rs
@@ -83,19 +83,26 @@
     if let Some(mut conn) = pool.idle() {
         // A node may close a connection between requests: a request that crosses that goes out once more.
         if let Ok(answer) = conn.send.send_request(request(stage, ask)).await {
-            return hear(stage, &pool, conn, answer).await;
+            return hear(stage, &pool, ask, conn, answer).await;
         }
     }
     let Some(mut conn) = pool.open().await else { return Got::NotTaken };
     match conn.send.send_request(request(stage, ask)).await {
-        Ok(answer) => hear(stage, &pool, conn, answer).await,
+        Ok(answer) => hear(stage, &pool, ask, conn, answer).await,
         Err(_) => Got::Broken { begun: false },
     }
 }
 
-async fn hear(stage: &Rc<Stage>, pool: &Pool, conn: Conn, answer: Response<hyper::body::Incoming>) -> Got {
+async fn hear(
+    stage: &Rc<Stage>,
+    pool: &Pool,
+    ask: usize,
+    conn: Conn,
+    answer: Response<hyper::body::Incoming>,
+) -> Got {
     let (head, body) = answer.into_parts();
     let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return Got::Broken { begun: true } };
+    stage.admitted(ask, &head);
     let after = head.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
     let body = body.to_bytes();
     pool.idle.borrow_mut().push(conn);
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -4,6 +4,7 @@
 mod address;
 mod agent;
 mod clients;
+mod group;
 mod process;
 mod servers;
 
@@ -14,6 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use member::DRIFT;
 use nix::sys::resource::{getrlimit, setrlimit, Resource};
 use nix::unistd::Pid;
 use thiserror::Error;
@@ -24,9 +26,10 @@
 use self::address::{Addresses, Block};
 use self::agent::Agent;
 use self::clients::Pool;
+use self::group::Group;
 use self::process::Launch;
 use self::servers::Doors;
-use crate::draw::Draw;
+use crate::draw::{ms, Draw};
 use crate::plan::Plan;
 use crate::server::Us;
 use crate::world::{Out, Signal, World};
@@ -105,6 +108,8 @@
 pub struct Options<'a> {
     /// The node's program.
     pub program: PathBuf,
+    /// The replicas' program, for plans with a control group.
+    pub control: PathBuf,
     /// Where the nodes' logs go.
     pub logs: &'a Path,
     /// Hears once a second how far the run is: the share of it, and what is served.
@@ -137,6 +142,7 @@
     asking: RefCell<HashMap<usize, AbortHandle>>,
     nodes: Vec<NodeState>,
     launch: Launch,
+    pub(crate) group: Option<Group>,
     pub(crate) idle: Duration,
     ready_within: Duration,
     held: Cell<(f64, u64)>,
@@ -171,8 +177,14 @@
     let dial = Rc::new(move |server, zone| addresses.server(server, zone));
     let clients_most = (plan.node.sockets / 3).max(1) as usize;
     let nodes = draw.nodes.len();
+    let control = plan.control.as_ref().map(toml::Spanned::get_ref);
+    let group = control.map(|c| Group::new(c, &options.control, folder.path(), options.logs, addresses));
+    let mut world = World::new(draw, plan.rules.clone(), 0.0, dial);
+    if let Some(control) = control {
+        world.expect_epochs(ms(control.promise_ms() * (1.0 + 2.0 * DRIFT) + plan.rules.slack_ms));
+    }
     let stage = Rc::new(Stage {
-        world: RefCell::new(World::new(draw, plan.rules.clone(), 0.0, dial)),
+        world: RefCell::new(world),
         start: Cell::new(None),
         closed: Cell::new(false),
         changed: Notify::new(),
@@ -183,6 +195,7 @@
         asking: RefCell::default(),
         nodes: (0..nodes).map(|_| NodeState::default()).collect(),
         launch,
+        group,
         idle: Duration::from_secs_f64(plan.server.get_ref().idle_s.max(0.1)),
         ready_within: Duration::from_secs_f64(plan.node.ready_s.max(0.1)),
         held: Cell::default(),
@@ -271,7 +284,7 @@
                 Out::Reply { attempt, reply } => self.doors.reply(attempt, reply),
                 Out::Reach { server, zone, reach } => {
                     if let Err(error) = self.doors.set(self, server, zone, reach) {
-                        self.failed.borrow_mut().get_or_insert(error);
+                        self.fail(error);
                     }
                 }
                 Out::Drop { server, zone } => self.doors.drop_connections(server, zone),
@@ -287,10 +300,24 @@
                     }
                 }
                 Out::Start(node) => drop(spawn_local(self.clone().start_again(node))),
+                Out::Strike(fault) => drop(spawn_local(group::strike(self.clone(), fault))),
+                Out::Heal(fault) => group::heal(self, fault),
             }
         }
     }
 
+    /// Under which epoch a node's answer says that its request was admitted.
+    fn admitted(self: &Rc<Self>, ask: usize, head: &hyper::http::response::Parts) {
+        if self.group.is_none() {
+            return;
+        }
+        let told = head.headers.get("x-policy-epoch").and_then(|v| v.to_str().ok()?.parse().ok());
+        // A node that admits under no epoch refuses; whatever else answers so was not asked to be admitted.
+        if told.is_some() || head.status.as_u16() == 503 {
+            self.with(|world, now| world.admitted(now, ask, told));
+        }
+    }
+
     fn pool(&self, ask: usize) -> Rc<Pool> {
         self.pools[self.world().asked(ask).node].clone()
     }
@@ -309,7 +336,8 @@
             serde_json::to_value(world.line(node, 0, world.version(node)))
         };
         let known = known.map_err(|e| LabError::start(node, e))?;
-        let process = self.launch.start(node, state.life.replace(state.life.get() + 1), known)?;
+        let control = self.group.as_ref().map(|group| group.node_config());
+        let process = self.launch.start(node, state.life.replace(state.life.get() + 1), known, control)?;
         state.id.set(Some(process.id()));
         let stage = self.clone();
         spawn_local(async move {
@@ -327,7 +355,7 @@
     /// Waits until a node is ready, or has failed to get there.
     async fn until_ready(&self, node: usize) -> Result<(), LabError> {
         let gone = self.nodes[node].gone.notified();
-        let last = || self.launch.last_line(node);
+        let last = || process::last_line(&self.launch.log(node));
         tokio::select! {
             () = process::until_ready(self.addresses.node(node)) => Ok(()),
             () = gone => Err(LabError::start(node, format!("it ended at once: {}", last()))),
@@ -353,11 +381,16 @@
         };
         match started {
             Ok(()) => self.with(|world, now| world.node_ready(now, node)),
-            Err(error) => drop(self.failed.borrow_mut().get_or_insert(error)),
+            Err(error) => self.fail(error),
         }
     }
 
-    /// Ends every node, and waits for that; the play is over, and their ends mean nothing.
+    /// The run can't go on; the first reason counts.
+    pub(crate) fn fail(&self, error: LabError) {
+        self.failed.borrow_mut().get_or_insert(error);
+    }
+
+    /// Ends every node and replica, and waits for that; the play is over, and their ends mean nothing.
     async fn clear(&self) {
         self.closed.set(true);
         for node in &self.nodes {
@@ -367,6 +400,9 @@
                 let _ = tokio::time::timeout(GONE, gone).await;
             }
         }
+        if let Some(group) = &self.group {
+            group.clear().await;
+        }
     }
 
     // ---- The play ----
@@ -385,6 +421,7 @@
         let interrupt = broken_off();
         tokio::pin!(interrupt);
         let prepare = async {
+            group::start(&self).await?;
             for node in 0..self.nodes.len() {
                 self.start_node(node)?;
             }
@@ -406,6 +443,11 @@
             () = self.sample(options) => {}
             _ = &mut interrupt => return Ok(true),
         }
+        if self.group.is_some() {
+            let acknowledged = self.world().acknowledged();
+            let agreed = group::agreed_at_end(&self, acknowledged).await;
+            self.with(|world, now| world.group_asked(now, agreed));
+        }
         Ok(false)
     }
 
--- a/crates/lab/src/live/process.rs
+++ b/crates/lab/src/live/process.rs
@@ -1,4 +1,4 @@
-//! The nodes' processes: started from the program's own binary, signalled by id, watched until they end.
+//! Processes: nodes, started from the program's own binary, and others; signalled by id, watched until they end.
 
 use std::fs::{self, File};
 use std::net::SocketAddr;
@@ -64,11 +64,17 @@
         }
     }
 
-    /// Starts a node with a last list of servers.
+    /// Starts a node with a last list of servers, and what it is told of a control group.
     ///
     /// # Errors
     /// Names the node and what failed.
-    pub fn start(&self, node: usize, life: u32, known: Value) -> Result<Process, LabError> {
+    pub fn start(
+        &self,
+        node: usize,
+        life: u32,
+        known: Value,
+        control: Option<Value>,
+    ) -> Result<Process, LabError> {
         let fail = |error: std::io::Error| LabError::start(node, error);
         let scratch = self.folder.join(format!("n{node}-{life}"));
         fs::create_dir_all(&scratch).map_err(fail)?;
@@ -76,15 +82,17 @@
         let (listen, discovery) =
             (self.addresses.node(node).to_string(), self.addresses.list(node).to_string());
         let seed = seed(&self.draw, node, life);
-        let config = json!({
+        let mut config = json!({
             "name": format!("n{node}"), "listen": listen, "discovery": discovery,
             "seed": format!("{seed:016x}"), "limits": self.limits, "known": known, "settings": settings,
         });
+        if let Some(control) = control {
+            config["control"] = control;
+            config["state_dir"] = json!(self.folder.join(format!("n{node}-state")));
+        }
         let file = self.folder.join(format!("n{node}-{life}.json"));
         fs::write(&file, config.to_string()).map_err(fail)?;
-        let log = self.log(node);
-        let log = File::options().create(true).append(true).open(log).map_err(fail)?;
-        let mut command = Command::new(&self.program);
+        let mut command = std::process::Command::new(&self.program);
         for name in ["ADMIN_ADDR", "INHERITED_FD"] {
             command.env_remove(format!("BALANCER_{name}"));
         }
@@ -93,18 +101,8 @@
             .env("BALANCER_NAME", format!("n{node}"))
             .env("BALANCER_LISTEN", listen)
             .env("BALANCER_DISCOVERY", discovery)
-            .env("TMPDIR", &scratch)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().map_err(fail)?)
-            .stderr(log)
-            .kill_on_drop(true)
-            // A group of its own: a Ctrl-C at the terminal is the lab's to see, which then ends the nodes.
-            .process_group(0);
-        let child =
-            command.spawn().map_err(|e| LabError::start(node, format!("{}: {e}", self.program.display())))?;
-        let id = child.id().map(|id| Pid::from_raw(id as i32));
-        let id = id.ok_or_else(|| LabError::start(node, "it has no process id"))?;
-        Ok(Process { child, id })
+            .env("TMPDIR", &scratch);
+        spawn(&format!("node n{node}"), command, &self.log(node))
     }
 
     /// The memory in MiB, and the descriptors, that a node may hold.
@@ -117,12 +115,35 @@
     pub fn log(&self, node: usize) -> PathBuf {
         self.logs.join(format!("n{node}.log"))
     }
+}
 
-    /// The last line that a node logged, for whoever wonders why it did not come up.
-    pub fn last_line(&self, node: usize) -> String {
-        let text = fs::read_to_string(self.log(node)).unwrap_or_default();
-        text.lines().next_back().unwrap_or("it said nothing").to_string()
-    }
+/// The last line of a log, for whoever wonders why a process did not come up.
+pub fn last_line(log: &Path) -> String {
+    let text = fs::read_to_string(log).unwrap_or_default();
+    text.lines().next_back().unwrap_or("it said nothing").to_string()
+}
+
+/// Starts a process whose words go to the end of a log. It is killed when what is given back is dropped.
+///
+/// # Errors
+/// Names who could not be started.
+pub fn spawn(who: &str, command: std::process::Command, log: &Path) -> Result<Process, LabError> {
+    let fail = |words: String| LabError::Start { who: who.into(), words };
+    let program = command.get_program().to_string_lossy().into_owned();
+    let open = File::options().create(true).append(true).open(log);
+    let (out, err) = open.and_then(|log| Ok((log.try_clone()?, log))).map_err(|e| fail(e.to_string()))?;
+    let mut command = Command::from(command);
+    command
+        .stdin(Stdio::null())
+        .stdout(out)
+        .stderr(err)
+        .kill_on_drop(true)
+        // A group of its own: a Ctrl-C at the terminal is the lab's to see, which then ends what it started.
+        .process_group(0);
+    let child = command.spawn().map_err(|e| fail(format!("{program}: {e}")))?;
+    let id = child.id().map(|id| Pid::from_raw(id as i32));
+    let id = id.ok_or_else(|| fail("it has no process id".into()))?;
+    Ok(Process { child, id })
 }
 
 impl Process {
--- a/crates/lab/src/modules/mod.rs
+++ b/crates/lab/src/modules/mod.rs
@@ -231,7 +231,8 @@
                 self.start(node)?;
                 self.at(node, self.now + STARTS, Wake::Ready);
             }
-            Out::Reach { .. } | Out::Crowd { .. } => {}
+            // The modules keep the settings that they were started with.
+            Out::Reach { .. } | Out::Crowd { .. } | Out::Strike(_) | Out::Heal(_) => {}
         }
         Ok(())
     }
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 
 use serde::de::Error;
-use serde::{Deserialize, Deserializer};
+use serde::{Deserialize, Deserializer, Serialize};
 use thiserror::Error;
 use toml::Spanned;
 
@@ -20,6 +20,10 @@
 pub const SERVERS_MOST: usize = 400;
 /// The most silent connections to one node.
 pub const CROWD_MOST: f64 = 5000.0;
+/// The most replicas of a control group.
+pub const REPLICAS_MOST: usize = 7;
+/// How long a replica's promise lasts where its terms leave it out.
+const PROMISE_MS: f64 = 2000.0;
 /// The longest play, in seconds.
 pub const LENGTH_MOST: f64 = 3600.0;
 
@@ -132,6 +136,9 @@
     /// What a node may take.
     #[serde(default)]
     pub node: NodeLimits,
+    /// The group that the nodes' policy is agreed by; without it nodes keep their settings.
+    #[serde(default)]
+    pub control: Option<Spanned<Control>>,
     /// What goes wrong.
     #[serde(default, rename = "fault")]
     pub faults: Vec<Spanned<Fault>>,
@@ -496,6 +503,63 @@
     }
 }
 
+/// The control group: real replicas.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Control {
+    /// How many replicas.
+    pub replicas: usize,
+    /// What becomes of a change while a node can't be reached.
+    pub unreachable: Unreachable,
+    /// How nodes come to their first epoch.
+    pub start: Start,
+    /// Where that is by what was saved: after how long without an answer of the group.
+    #[serde(deserialize_with = "figure")]
+    pub saved_after_ms: f64,
+    /// What else stands in the `terms` of the replicas' configuration.
+    pub terms: toml::Table,
+}
+
+impl Default for Control {
+    fn default() -> Self {
+        Self {
+            replicas: 3,
+            unreachable: Unreachable::Abort,
+            start: Start::Wait,
+            saved_after_ms: 3000.0,
+            terms: toml::Table::new(),
+        }
+    }
+}
+
+impl Control {
+    /// How long a node takes requests under an older epoch at the most, in milliseconds, as the replicas' terms say.
+    pub fn promise_ms(&self) -> f64 {
+        let told = self.terms.get("promise_ms").and_then(toml::Value::as_integer);
+        told.map_or(PROMISE_MS, |ms| ms as f64)
+    }
+}
+
+/// What becomes of a change while a node can't be reached.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Unreachable {
+    /// It is aborted.
+    Abort,
+    /// The node stops taking requests, and the change goes on without it.
+    Fence,
+}
+
+/// How nodes come to their first epoch.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Start {
+    /// They wait for the group.
+    Wait,
+    /// After a while without the group, by the one that they saved.
+    Saved,
+}
+
 /// What a fault does.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
@@ -540,6 +604,33 @@
     ReorderedList,
     /// Load grows by `factor`.
     Burst,
+    /// Operators ask for the `policy`; they go on asking for `for_s` while nobody says what became of it.
+    Policy,
+    /// Replicas are killed, and started again after `for_s`.
+    ReplicaKill,
+    /// Replicas stand still for `for_s`.
+    ReplicaStop,
+    /// Replicas are told to end, and started again once they have.
+    ReplicaRestart,
+    /// All replicas are killed, and started again after `for_s`.
+    GroupLost,
+}
+
+impl Trouble {
+    /// It strikes replicas, by number from 1 on.
+    pub fn of_replicas(self) -> bool {
+        matches!(self, Self::ReplicaKill | Self::ReplicaStop | Self::ReplicaRestart)
+    }
+
+    /// It strikes nodes.
+    pub fn of_nodes(self) -> bool {
+        matches!(self, Self::Kill | Self::Restart | Self::Stop | Self::Crowd)
+    }
+
+    /// It needs a control group.
+    pub fn of_control(self) -> bool {
+        self.of_replicas() || matches!(self, Self::Policy | Self::GroupLost)
+    }
 }
 
 /// One line of the timeline.
@@ -573,6 +664,18 @@
     pub garbled: Option<f64>,
     /// Of a cut: only what goes `out` of the zone, or `in`to it; both where absent.
     pub way: Option<Way>,
+    /// The policy that is asked for: settings' fields with their new values.
+    pub policy: Option<serde_json::Map<String, serde_json::Value>>,
+    /// The replica that leads when the fault begins, in place of `ids`.
+    pub which: Option<Which>,
+}
+
+/// A replica by its part.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum Which {
+    /// The one that leads.
+    Leader,
 }
 
 /// One way of a link.
@@ -607,6 +710,18 @@
     pub recover_s: Option<f64>,
     /// Attempts at the server that gets most of them, over the mean, in any 5 s, at most.
     pub spread: Option<f64>,
+    /// Changes of policy that are committed: so many at least.
+    pub committed: Option<f64>,
+    /// Changes of policy that are aborted: just so many.
+    pub aborted: Option<f64>,
+    /// The longest time from asking for a change until it is active at each node, at most.
+    pub active_ms: Option<f64>,
+    /// The longest time for which two policies were in force, at most.
+    pub mixed_ms: Option<f64>,
+    /// The share of answers that refused for want of an agreed policy, at most.
+    pub held: Option<f64>,
+    /// The longest time for which nothing could be written after the leader was struck, at most.
+    pub write_gap_ms: Option<f64>,
 }
 
 /// Why a file can't be played: one line.
@@ -700,6 +815,12 @@
         }
     }
 
+    /// The same without the faults of some kinds.
+    pub fn without(mut self, kinds: &[Trouble]) -> Self {
+        self.faults.retain(|fault| !kinds.contains(&fault.get_ref().kind));
+        self
+    }
+
     /// Reads a file's text.
     ///
     /// # Errors
@@ -736,6 +857,13 @@
         }
         self.check_fleet(self.fleet.span().start)?;
         self.check_figures()?;
+        if let Some(control) = &self.control {
+            let replicas = control.get_ref().replicas;
+            if !(1..=REPLICAS_MOST).contains(&replicas) {
+                let words = format!("1 to {REPLICAS_MOST} are possible, not {replicas}");
+                return bad(control.span().start, "control.replicas", words);
+            }
+        }
         for (n, fault) in self.faults.iter().enumerate() {
             let kind = format!("{:?}", fault.get_ref().kind).to_lowercase();
             self.check_fault(fault.get_ref()).map_err(|(key, words)| Bad {
@@ -846,16 +974,28 @@
         if fault.garbled.is_some_and(|s| !(0.0..=1.0).contains(&s)) {
             return fail("garbled", "a share from 0 to 1 expected".into());
         }
-        let of_nodes =
-            matches!(fault.kind, Trouble::Kill | Trouble::Restart | Trouble::Stop | Trouble::Crowd);
-        let most = if of_nodes { fleet.nodes } else { fleet.servers }.bounds().0 as usize;
-        if let Some(id) = fault.ids.iter().flatten().find(|id| **id >= most) {
-            return fail("ids", format!("{id} is not there; they count from 0 to {}", most - 1));
+        let Some(replicas) = self.control.as_ref().map(|c| c.get_ref().replicas).or_else(|| {
+            let without = !fault.kind.of_control();
+            without.then_some(0)
+        }) else {
+            return fail("kind", "[control] is missing: there is no group that it could strike".into());
+        };
+        let (least, most) = match fault.kind {
+            kind if kind.of_nodes() => (0, fleet.nodes.bounds().0 as usize - 1),
+            kind if kind.of_replicas() => (1, replicas),
+            _ => (0, fleet.servers.bounds().0 as usize - 1),
+        };
+        if let Some(id) = fault.ids.iter().flatten().find(|id| !(least..=most).contains(*id)) {
+            return fail("ids", format!("{id} is not there; they count from {least} to {most}"));
+        }
+        if fault.which.is_some() && (!fault.kind.of_replicas() || fault.ids.is_some()) {
+            return fail("which", "only for a replica, in place of ids".into());
         }
         match fault.kind {
             Trouble::Cut | Trouble::BreakLinks | Trouble::Narrow if fault.zone.is_none() => {
                 fail("zone", "is missing".into())
             }
+            Trouble::Policy if fault.policy.is_none() => fail("policy", "is missing".into()),
             Trouble::Narrow if !fault.factor.is_some_and(|f| f >= 1.0) => {
                 fail("factor", "bytes a second expected, 1 at least".into())
             }
@@ -917,6 +1057,13 @@
         assert!(words("[[fault]]\nkind = \"slow\"\nat_s = 1\n").contains("factor"));
         assert!(words("[[fault]]\nkind = \"stop\"\nids = [7]\nat_s = 1\n")
             .contains("fault[0].ids: stop: 7 is not there"));
+        assert!(words("[control]\nreplicas = 9\n").contains("x.toml:4: control.replicas: 1 to 7"));
+        let lost = "[[fault]]\nkind = \"group-lost\"\nat_s = 1\n";
+        assert!(words(lost).contains("fault[0].kind: grouplost: [control] is missing"));
+        let of = |more: &str| words(&format!("[control]\n[[fault]]\nat_s = 1\n{more}"));
+        assert!(of("kind = \"replica-kill\"\nids = [0]\n").contains("they count from 1 to 3"));
+        assert!(of("kind = \"kill\"\nwhich = \"leader\"\n").contains("fault[0].which: kill: only for"));
+        assert!(of("kind = \"policy\"\n").contains("fault[0].policy: policy: is missing"));
         assert!(Plan::read("x.toml", "schema = 2\nname = \"x\"\nlength_s = 1").is_err());
     }
 }
--- a/crates/lab/src/referee.rs
+++ b/crates/lab/src/referee.rs
@@ -39,6 +39,14 @@
     Limits,
     /// A node does not end by itself.
     Alive,
+    /// Nothing is admitted under an epoch for longer than the bound once a newer one is in force.
+    Mixed,
+    /// Nothing is admitted under an epoch that no change has become.
+    Aborted,
+    /// A change that was acknowledged is never lost.
+    Lost,
+    /// A node does not go back to an older epoch.
+    Backward,
 }
 
 impl fmt::Display for Rule {
@@ -53,6 +61,10 @@
             Self::Unknown => "unknown",
             Self::Limits => "limits",
             Self::Alive => "alive",
+            Self::Mixed => "mixed",
+            Self::Aborted => "aborted",
+            Self::Lost => "lost",
+            Self::Backward => "backward",
         })
     }
 }
--- a/crates/lab/src/result.rs
+++ b/crates/lab/src/result.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::draw::Draw;
+use crate::epochs::{ChangeFigures, ControlFigures, Outcome};
 use crate::error::{read_json, FileError};
 use crate::live::Played;
 use crate::plan::{Plan, Trouble};
@@ -59,6 +60,9 @@
     pub server_load: Vec<Vec<u32>>,
     /// The faults, and how long service took to be back.
     pub faults: Vec<FaultResult>,
+    /// What came of the changes of policy, where a control group agrees on them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub control: Option<ControlFigures>,
     /// How many rules were broken, and the first of them.
     pub breaches: usize,
     /// Their words.
@@ -387,7 +391,8 @@
                 attempts: counts.attempts,
             }
         });
-        let faults = draw.faults.iter().map(|f| {
+        // What came of policies is told apart.
+        let faults = draw.faults.iter().filter(|f| f.kind != Trouble::Policy).map(|f| {
             let (at, until) = (f.at / 1_000_000, f.until.div_ceil(1_000_000));
             FaultResult {
                 kind: kind(f.kind),
@@ -417,6 +422,7 @@
             seconds: seconds.collect(),
             server_load: tally.load.clone(),
             faults: faults.collect(),
+            control: world.control(),
             breaches,
             broken,
             lab: LabFigures {
@@ -440,6 +446,23 @@
             let held = |wanted: f64| got.is_some_and(|got| got <= wanted);
             wanted.map(|wanted| Held { key: key.into(), wanted, got, held: held(wanted) })
         };
+        let exactly = |key: &str, wanted: Option<f64>, got: Option<f64>| {
+            wanted.map(|wanted| Held { key: key.into(), wanted, got, held: got == Some(wanted) })
+        };
+        let control = self.control.as_ref();
+        let count = |of: fn(&Outcome) -> bool| {
+            control.map(|c| c.changes.iter().filter(|change| of(&change.outcome)).count() as f64)
+        };
+        let committed = count(|o| matches!(o, Outcome::Committed(_))).unwrap_or(0.0);
+        // Of the changes that were committed.
+        let longest = |of: fn(&ChangeFigures) -> Option<f64>| {
+            let committed = |c: &&ChangeFigures| matches!(c.outcome, Outcome::Committed(_));
+            let all: Option<Vec<f64>> = control?.changes.iter().filter(committed).map(of).collect();
+            all.map(|all| all.into_iter().fold(0.0, f64::max))
+        };
+        let gap = control.and_then(|c| {
+            c.write_gaps_ms.iter().copied().try_fold(0.0, |most, gap| gap.map(|gap| f64::max(most, gap)))
+        });
         let s = self.service;
         let recovered: Option<Vec<f64>> = self.faults.iter().map(|f| f.recover_s).collect();
         let recovered = recovered.map(|all| all.into_iter().fold(0.0, f64::max));
@@ -454,6 +477,12 @@
             most("cross_zone", hold.cross_zone, Some(self.cost.cross_zone / self.cost.attempts.max(1e-9))),
             most("recover_s", hold.recover_s, recovered),
             most("spread", hold.spread, Some(self.cost.spread)),
+            least("committed", hold.committed, committed),
+            exactly("aborted", hold.aborted, count(|o| matches!(o, Outcome::Aborted(_)))),
+            most("active_ms", hold.active_ms, longest(|c| c.active_ms)),
+            most("mixed_ms", hold.mixed_ms, longest(|c| c.mixed_ms)),
+            most("held", hold.held, control.map(|c| c.held)),
+            most("write_gap_ms", hold.write_gap_ms, gap),
         ];
         self.held = held.into_iter().flatten().collect();
         let held = self.breaches == 0 && self.held.iter().all(|h| h.held);
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -52,6 +52,11 @@
             Trouble::ReorderedList => self.reorder(true),
             // Drawn with the arrivals.
             Trouble::Burst => {}
+            Trouble::Policy
+            | Trouble::ReplicaKill
+            | Trouble::ReplicaStop
+            | Trouble::ReplicaRestart
+            | Trouble::GroupLost => self.out.push_back(Out::Strike(n)),
         }
     }
 
@@ -78,6 +83,11 @@
             | Trouble::Release
             | Trouble::Replace
             | Trouble::Burst => {}
+            Trouble::Policy
+            | Trouble::ReplicaKill
+            | Trouble::ReplicaStop
+            | Trouble::ReplicaRestart
+            | Trouble::GroupLost => self.out.push_back(Out::Heal(n)),
         }
     }
 
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -11,6 +11,7 @@
 
 mod attempts;
 mod clients;
+mod control;
 mod faults;
 mod figures;
 mod fleet;
@@ -29,6 +30,7 @@
 use rand_pcg::Pcg64;
 
 use crate::draw::{Draw, FaultSpec, ServerSpec};
+use crate::epochs::Epochs;
 use crate::listing::{Entry, List};
 use crate::plan::{Effect, Rules, Trouble, Way};
 use crate::referee::{About, Breach, Referee, Rule};
@@ -114,6 +116,10 @@
     Signal(usize, Signal),
     /// A node is started anew.
     Start(usize),
+    /// The control group's part in a fault begins.
+    Strike(usize),
+    /// It ends.
+    Heal(usize),
 }
 
 /// What an attempt gets.
@@ -386,6 +392,7 @@
     links: Vec<Vec<Link>>,
     referee: Referee,
     tally: Tally,
+    epochs: Option<Epochs>,
 }
 
 impl World {
@@ -426,6 +433,7 @@
             links: vec![vec![Link::default(); zones]; zones],
             referee: Referee::new(rules, draw.nodes.len()),
             tally: Tally::new(draw.classes.len()),
+            epochs: None,
             servers,
             draw,
         };
--- a/crates/lab/tests/referee.rs
+++ b/crates/lab/tests/referee.rs
@@ -4,9 +4,11 @@
 use std::rc::Rc;
 
 use lab::draw::Draw;
+use lab::epochs::Outcome;
 use lab::live::{self, Options};
 use lab::plan::Plan;
-use lab::referee::Rule;
+use lab::referee::{Breach, Rule};
+use lab::world::World;
 
 /// Two nodes and six servers, lightly loaded, with a class that may not run twice.
 const FLEET: &str = "schema = 1\nname = \"x\"\nlength_s = 4\n\
@@ -18,19 +20,35 @@
 
 /// The rules that a script breaks, with more in the experiment's file.
 fn broken(script: &str, more: &str) -> BTreeSet<Rule> {
+    let breaches = breaches(&play(script, "fair", more));
+    for breach in &breaches {
+        assert!(breach.node.is_some() || breach.server.is_some(), "{breach}");
+    }
+    breaches.iter().map(|b| b.rule).collect()
+}
+
+/// Plays the fleet with a node's and a replica's script.
+fn play(script: &str, replica: &str, more: &str) -> World {
     let folder = tempfile::tempdir().expect("a folder");
-    let program = folder.path().join(format!("scripted-node-{script}"));
-    std::os::unix::fs::symlink(env!("CARGO_BIN_EXE_scripted-node"), &program).expect("a link");
+    let link = |name: String, program: &str| {
+        let link = folder.path().join(name);
+        std::os::unix::fs::symlink(program, &link).expect("a link");
+        link
+    };
+    let program = link(format!("scripted-node-{script}"), env!("CARGO_BIN_EXE_scripted-node"));
+    let control = link(format!("scripted-replica-{replica}"), env!("CARGO_BIN_EXE_scripted-replica"));
     let plan = Plan::read("x.toml", &format!("{FLEET}{more}")).expect("it can be played");
-    let options = Options { program, logs: &folder.path().join("logs"), progress: &|_, _| {} };
-    let played = live::play(&plan, Rc::new(Draw::new(&plan, 1)), &options).expect("it is played");
-    let (count, breaches) = played.world.breaches();
+    let options = Options { program, control, logs: &folder.path().join("logs"), progress: &|_, _| {} };
+    live::play(&plan, Rc::new(Draw::new(&plan, 1)), &options).expect("it is played").world
+}
+
+fn breaches(world: &World) -> Vec<Breach> {
+    let (count, breaches) = world.breaches();
     assert_eq!(count == 0, breaches.is_empty());
     for breach in &breaches {
-        let named = breach.node.is_some() || breach.server.is_some();
-        assert!(named && breach.at_ms > 0.0 && !breach.words.is_empty(), "{breach}");
+        assert!(breach.at_ms > 0.0 && !breach.words.is_empty(), "{breach}");
     }
-    breaches.iter().map(|b| b.rule).collect()
+    breaches
 }
 
 /// A server is drained half a second in, and another started in its place, or the same one anew.
@@ -97,3 +115,47 @@
 fn alive_by_a_node_that_ends() {
     assert_eq!(broken("quit", ""), BTreeSet::from([Rule::Alive]));
 }
+
+/// A policy is asked for half a second in, of a group of one whose nodes may lag by so much.
+fn asked(promise_ms: u64) -> String {
+    format!(
+        "[control]\nreplicas = 1\n[control.terms]\npromise_ms = {promise_ms}\n\
+        [[fault]]\nkind = \"policy\"\nat_s = 0.5\nfor_s = 1\npolicy = {{ Retry = {{ BudgetMax = 3 }} }}\n"
+    )
+}
+
+/// The rules that nodes and a group break with their scripts.
+fn broken_by(node: &str, replica: &str, promise_ms: u64) -> BTreeSet<Rule> {
+    breaches(&play(node, replica, &asked(promise_ms))).iter().map(|b| b.rule).collect()
+}
+
+#[test]
+fn fair_nodes_under_an_agreed_policy_break_none() {
+    let world = play("fair", "fair", &asked(300));
+    assert_eq!(breaches(&world), []);
+    let control = world.control().expect("a group");
+    let change = &control.changes[0];
+    assert_eq!((control.changes.len(), &change.outcome), (1, &Outcome::Committed(1)));
+    assert!(change.active_ms > Some(0.0) && change.mixed_ms < Some(300.0), "{change:?}");
+    assert_eq!(control.held, 0.0);
+}
+
+#[test]
+fn mixed_by_a_node_that_never_hears_of_the_change() {
+    assert_eq!(broken_by("lag", "fair", 300), BTreeSet::from([Rule::Mixed]));
+}
+
+#[test]
+fn aborted_by_nodes_that_take_the_change_for_committed() {
+    assert_eq!(broken_by("early", "abort", 300), BTreeSet::from([Rule::Aborted]));
+}
+
+#[test]
+fn lost_by_a_group_that_forgets_what_it_acknowledged() {
+    assert_eq!(broken_by("fair", "forget", 300), BTreeSet::from([Rule::Lost]));
+}
+
+#[test]
+fn backward_by_nodes_that_go_to_and_fro() {
+    assert_eq!(broken_by("back", "fair", 60_000), BTreeSet::from([Rule::Backward]));
+}
--- a/crates/stoneshift/src/main.rs
+++ b/crates/stoneshift/src/main.rs
@@ -132,10 +132,22 @@
             own.with_file_name("glenwood")
         }
     };
-    // A whole path: a name without a folder would be searched for elsewhere.
+    whole("--node", program)
+}
+
+/// The replicas' program: what was named, or this one.
+fn control_program(named: Option<PathBuf>) -> Result<PathBuf, Failure> {
+    match named {
+        Some(program) => whole("--control", program),
+        None => std::env::current_exe().map_err(Failure::Own),
+    }
+}
+
+/// A program's whole path: a name without a folder would be searched for elsewhere.
+fn whole(flag: &'static str, program: PathBuf) -> Result<PathBuf, Failure> {
     match program.canonicalize() {
         Ok(path) if path.is_file() => Ok(path),
-        _ => Err(Failure::Program { flag: "--node", program }),
+        _ => Err(Failure::Program { flag, program }),
     }
 }
 
--- a/crates/stoneshift/src/run.rs
+++ b/crates/stoneshift/src/run.rs
@@ -9,12 +9,12 @@
 use lab::draw::{Draw, ARRIVALS_MOST};
 use lab::error::FileError;
 use lab::live::{self, Options};
-use lab::plan::Plan;
+use lab::plan::{Plan, Trouble};
 use lab::plot;
 use lab::result::{RunResult, Verdict};
 
 use crate::failure::Failure;
-use crate::{make_folder, node_program, style, table};
+use crate::{control_program, make_folder, node_program, style, table};
 
 #[derive(Debug, Args)]
 pub struct Run {
@@ -26,9 +26,15 @@
     /// Where result, plots and the nodes' logs go; made where it is not there.
     #[arg(long, default_value = "target/lab")]
     out: PathBuf,
+    /// Leaves out the faults of a kind, such as policy, to compare with; may be given again.
+    #[arg(long, value_name = "KIND", value_parser = kind)]
+    without: Vec<Trouble>,
     /// The node's program; without it, the `glenwood` beside this program.
     #[arg(long)]
     node: Option<PathBuf>,
+    /// The replicas' program, for experiments with a control group; without it, this program.
+    #[arg(long)]
+    control: Option<PathBuf>,
 }
 
 impl Run {
@@ -37,8 +43,9 @@
     /// # Errors
     /// Why it could not be played.
     pub fn play(self) -> Result<bool, Failure> {
-        let plan = Plan::load(&self.file)?;
+        let plan = Plan::load(&self.file)?.without(&self.without);
         let program = node_program(self.node)?;
+        let control = control_program(self.control)?;
         make_folder(&self.out)?;
         let logs = self.out.join("logs");
         if logs.is_dir() {
@@ -67,7 +74,7 @@
             bar.set_position((share.min(1.0) * 1e3) as u64);
             bar.set_message(format!("served of late {served:.3}"));
         };
-        let played = live::play(&plan, draw, &Options { program, logs: &logs, progress: &progress });
+        let played = live::play(&plan, draw, &Options { program, control, logs: &logs, progress: &progress });
         bar.finish_and_clear();
         let played = played?;
         let result = RunResult::new(&plan, &played, &random, &oracle);
@@ -78,3 +85,9 @@
         Ok(result.verdict == Verdict::Held)
     }
 }
+
+/// A fault's kind, as experiments' files word it.
+fn kind(word: &str) -> Result<Trouble, serde::de::value::Error> {
+    use serde::de::IntoDeserializer;
+    serde::Deserialize::deserialize(word.into_deserializer())
+}
--- a/crates/stoneshift/src/table.rs
+++ b/crates/stoneshift/src/table.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 
+use lab::epochs::{ControlFigures, Outcome};
 use lab::result::{RunResult, Service};
 
 /// Breaches that are shown in words.
@@ -80,6 +81,9 @@
             fault.kind, fault.at_s, fault.until_s, fault.targets
         )?;
     }
+    if let Some(control) = &r.control {
+        control_lines(out, control)?;
+    }
     let l = &r.lab;
     writeln!(
         out,
@@ -99,3 +103,26 @@
     }
     writeln!(out, "verdict: {}", r.verdict)
 }
+
+fn control_lines(out: &mut String, c: &ControlFigures) -> std::fmt::Result {
+    let ms = |ms: Option<f64>| ms.map_or("unknown".to_string(), |ms| format!("{ms:.0} ms"));
+    for change in &c.changes {
+        let outcome = match &change.outcome {
+            Outcome::Committed(epoch) => format!("committed as epoch {epoch}"),
+            Outcome::Aborted(words) => format!("aborted ({words})"),
+            Outcome::Unknown => "with an unknown end".to_string(),
+        };
+        writeln!(
+            out,
+            "policy asked for at {:.1} s {outcome}: told after {}, active everywhere after {}, two in force for {}",
+            change.at_s,
+            ms(change.told_ms),
+            ms(change.active_ms),
+            ms(change.mixed_ms)
+        )?;
+    }
+    for gap in &c.write_gaps_ms {
+        writeln!(out, "leader struck: nothing could be written for {}", ms(*gap))?;
+    }
+    writeln!(out, "answers that refused for want of an agreed policy: {:.4}", c.held)
+}
