Have the leader look through its members once for all beats that wait

Cause: each beat had it look through all members, so 1000 nodes at a beat each 250 ms kept the one task busy all the time. Change: Leader::handle_all takes what has come in its order and looks once; the edge's task gives it up to 512 at once.

--- a/crates/control/src/edge/actor.rs
+++ b/crates/control/src/edge/actor.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::JoinSet;
+use tokio::task::{JoinError, JoinSet};
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::leader::{Effect, Input, Leader, Refusal, Terms};
@@ -21,6 +21,8 @@
 
 /// How many calls may wait to be taken.
 const CALLS_MOST: usize = 4096;
+/// How many events the leader takes at once.
+const AT_ONCE: usize = 512;
 /// How long a connection to where a process lives is tried.
 const PROBE: Duration = Duration::from_millis(200);
 
@@ -159,9 +161,9 @@
                 }
             };
             // What was done for a term counts for that term alone, which may have ended since.
-            match &mut term {
-                Some(term) if term.goes_on(&leading.borrow()) => term.take(event),
-                _ => {}
+            if let Some(term) = term.as_mut().filter(|term| term.goes_on(&leading.borrow())) {
+                let events = term.with_waiting(event, &mut self.calls);
+                term.take(events);
             }
         }
     }
@@ -180,18 +182,20 @@
         Duration::from_secs_f64(wait / 1000.0)
     });
     tokio::select! {
-        Some(done) = term.tasks.join_next() => Some(match done {
-            Ok(input) => input,
-            // Tasks don't panic, and are aborted with the term alone.
-            Err(error) => {
-                tracing::error!(%error, "a task of the leader ended early");
-                Input::Tick
-            }
-        }),
+        Some(done) = term.tasks.join_next() => Some(done_input(done)),
         () = sleep(due) => Some(Input::Tick),
     }
 }
 
+/// What a task has brought.
+fn done_input(done: Result<Input, JoinError>) -> Input {
+    // Tasks don't panic, and are aborted with the term alone.
+    done.unwrap_or_else(|error| {
+        tracing::error!(%error, "a task of the leader ended early");
+        Input::Tick
+    })
+}
+
 /// What a leader's stamps are told apart by. A replica that led when it ended may lead on in the same term when it is
 /// started anew, and its clock begins anew then: stamps of the term alone would be taken for those of another time.
 fn reign(term: u64, starts: u64) -> u64 {
@@ -238,32 +242,50 @@
         leading.me && leading.term == self.number
     }
 
-    fn take(&mut self, event: Event) {
-        let input = match event {
-            Event::Input(input) => input,
-            Event::Call(Call::Nodes(answer)) => {
-                // Who asked may have gone.
-                let _ = answer.send(self.nodes());
-                return;
+    /// An event with those that have come besides: the leader looks through all members once for all of them, so that
+    /// a crowd of beats costs it no more than it can bear.
+    fn with_waiting(&mut self, first: Event, calls: &mut mpsc::Receiver<Call>) -> Vec<Event> {
+        let mut events = vec![first];
+        while events.len() < AT_ONCE {
+            match (calls.try_recv(), self.tasks.try_join_next()) {
+                (Err(_), None) => break,
+                (call, done) => {
+                    events.extend(call.ok().map(Event::Call));
+                    events.extend(done.map(|done| Event::Input(done_input(done))));
+                }
             }
-            Event::Call(Call::Beat(beat, answer)) => {
-                let member =
-                    self.replica.read(|agreement, _| agreement.roster().seat(&beat.process).is_some());
-                if member {
-                    self.said.insert(beat.process.clone(), (beat.active, beat.change.clone()));
+        }
+        events
+    }
+
+    fn take(&mut self, events: Vec<Event>) {
+        let mut inputs = Vec::with_capacity(events.len());
+        for event in events {
+            match event {
+                Event::Input(input) => inputs.push(input),
+                // Who asked may have gone.
+                Event::Call(Call::Nodes(answer)) => drop(answer.send(self.nodes())),
+                Event::Call(Call::Beat(beat, answer)) => {
+                    self.token += 1;
+                    self.waiting.insert(self.token, answer);
+                    inputs.push(Input::Beat { token: self.token, beat });
                 }
-                self.token += 1;
-                self.waiting.insert(self.token, answer);
-                Input::Beat { token: self.token, beat }
             }
-        };
-        if matches!(input, Input::Applied) {
-            let said = &mut self.said;
-            self.replica
-                .read(|agreement, _| said.retain(|process, _| agreement.roster().seat(process).is_some()));
         }
-        let (now, leader) = (self.now(), &mut self.leader);
-        let effects = self.replica.read(|agreement, _| leader.handle(now, input, agreement));
+        let (now, leader, said) = (self.now(), &mut self.leader, &mut self.said);
+        let effects = self.replica.read(|agreement, _| {
+            let member = |process: &Process| agreement.roster().seat(process).is_some();
+            for input in &inputs {
+                match input {
+                    Input::Beat { beat, .. } if member(&beat.process) => {
+                        said.insert(beat.process.clone(), (beat.active, beat.change.clone()));
+                    }
+                    Input::Applied => said.retain(|process, _| member(process)),
+                    _ => {}
+                }
+            }
+            leader.handle_all(now, inputs, agreement)
+        });
         for effect in effects {
             self.carry_out(now, effect);
         }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -305,11 +305,41 @@
 
     /// Takes what has happened; `agreement` is the replica's state at this moment.
     pub fn handle(&mut self, now: Millis, input: Input, agreement: &Agreement) -> Vec<Effect> {
+        self.handle_all(now, [input], agreement)
+    }
+
+    /// Takes what has happened up to `now`, in its order: what follows from it is looked for once, which costs time by
+    /// the members.
+    pub fn handle_all(
+        &mut self,
+        now: Millis,
+        inputs: impl IntoIterator<Item = Input>,
+        agreement: &Agreement,
+    ) -> Vec<Effect> {
         self.now = now;
         let mut effects = Vec::new();
         self.sync(now, agreement);
+        for input in inputs {
+            self.take(now, input, agreement, &mut effects);
+        }
+        self.join(now, agreement, &mut effects);
+        self.answer(now, agreement, &mut effects);
+        self.decide(now, agreement, &mut effects);
+        self.probe(now, agreement, &mut effects);
+        if self.asked.is_none()
+            && now >= self.confirm_at
+            && self.waiting.values().any(|w| w.round > self.done)
+        {
+            self.begun += 1;
+            self.asked = Some(now);
+            effects.push(Effect::Confirm);
+        }
+        effects
+    }
+
+    fn take(&mut self, now: Millis, input: Input, agreement: &Agreement, effects: &mut Vec<Effect>) {
         match input {
-            Input::Beat { token, beat } => self.beat(now, token, beat, agreement, &mut effects),
+            Input::Beat { token, beat } => self.beat(now, token, beat, agreement, effects),
             Input::Confirmed { asked } => {
                 if self.asked == Some(asked) {
                     self.asked = None;
@@ -322,23 +352,10 @@
                     self.confirm_at = now + self.pace();
                 }
             }
-            Input::Probed { process, refused } => self.probed(now, process, refused, &mut effects),
-            Input::Written { command, outcome } => self.written(now, &command, outcome, &mut effects),
+            Input::Probed { process, refused } => self.probed(now, process, refused, effects),
+            Input::Written { command, outcome } => self.written(now, &command, outcome, effects),
             Input::Applied | Input::Tick => {}
         }
-        self.join(now, agreement, &mut effects);
-        self.answer(now, agreement, &mut effects);
-        self.decide(now, agreement, &mut effects);
-        self.probe(now, agreement, &mut effects);
-        if self.asked.is_none()
-            && now >= self.confirm_at
-            && self.waiting.values().any(|w| w.round > self.done)
-        {
-            self.begun += 1;
-            self.asked = Some(now);
-            effects.push(Effect::Confirm);
-        }
-        effects
     }
 
     /// When [`Input::Tick`] is due.
