--- a/tests/node.rs
+++ b/tests/node.rs
@@ -335,6 +335,7 @@
         config["discovery"] = json!(new.address.to_string());
         node.reload(&config.to_string());
         until("the new list counts", || ask() == b"b");
+        until("a watch stands there", || new.watches() == 1);
         // The move holds for the watches to come.
         new.down(true);
         let calls = old.calls().len();
