--- a/crates/member/src/side.rs
+++ b/crates/member/src/side.rs
@@ -151,6 +151,8 @@
     lease: Option<Millis>,
     promise_ms: Millis,
     next_beat: Millis,
+    /// What the newest beat did not say yet.
+    unsaid: bool,
     told_older: bool,
 }
 
@@ -174,6 +176,7 @@
             lease: None,
             promise_ms: 0.0,
             next_beat: now,
+            unsaid: false,
             told_older: false,
         }
     }
@@ -183,6 +186,7 @@
         self.beat_at = now;
         self.seen_at_beat = self.seen;
         self.next_beat = now + BEAT_MS;
+        self.unsaid = false;
         Beat {
             process: self.config.process.clone(),
             life: self.config.life,
@@ -251,7 +255,7 @@
         }
         self.joined = true;
         self.promise_ms = answer.promise_ms;
-        self.next_beat = now + answer.beat_ms;
+        self.next_beat = if self.unsaid { now } else { now + answer.beat_ms };
         let mut effects = Vec::new();
         self.fenced |= answer.fenced;
         if sent == self.beat_at && answer.agreed.version < self.seen_at_beat {
@@ -299,7 +303,7 @@
                     Ok(()) => Work::Staged { until: now + self.promise_ms },
                     Err(words) => Work::Refused { words: cut(&words) },
                 };
-                self.next_beat = now;
+                self.say(now);
                 vec![Effect::BeatNow]
             }
             _ => Vec::new(),
@@ -330,7 +334,7 @@
     /// The node ends and has nothing open: it takes nothing more from here on, and its beats close the session.
     pub fn bye(&mut self, now: Millis) -> Vec<Effect> {
         self.leaving = true;
-        self.next_beat = now;
+        self.say(now);
         vec![Effect::BeatNow]
     }
 
@@ -386,7 +390,7 @@
             if self.active.is_some_and(|active| change.epoch <= active) {
                 let words = format!("its epoch {} is not past this node's own", change.epoch);
                 self.change = Some((change, Work::Refused { words }));
-                self.next_beat = now;
+                self.say(now);
                 effects.push(Effect::BeatNow);
             } else {
                 self.change = Some((change.clone(), Work::Checking));
@@ -395,6 +399,12 @@
         }
     }
 
+    /// A beat is due; if one is out, as soon as that is answered.
+    fn say(&mut self, now: Millis) {
+        self.unsaid = true;
+        self.next_beat = now;
+    }
+
     /// What is agreed is judged by and kept, where it is not already.
     fn activate(&mut self, epoch: Epoch, policy: Policy, effects: &mut Vec<Effect>) {
         let known = self.saved.as_ref().filter(|saved| saved.epoch == epoch && saved.policy == policy);
--- a/crates/member/tests/side.rs
+++ b/crates/member/tests/side.rs
@@ -220,3 +220,16 @@
     member.answered(1000.0, answer(900.0, agreed(9, 4, None)), 1300.0);
     assert_eq!(member.beat(1400.0).echo, Some(Stamp { term: 2, at: 5.0 }));
 }
+
+#[test]
+fn what_a_beat_on_its_way_does_not_say_is_said_right_after_it() {
+    let mut member = staged();
+    member.beat(1000.0);
+    member.news(agreed(12, 4, Some((12, 6))), 1010.0);
+    member.checked(ChangeId(12), Ok(()), 1020.0);
+    member.answered(1000.0, answer(1.0, agreed(12, 4, Some((12, 6)))), 1030.0);
+    assert_eq!(member.next_beat(), 1030.0);
+    member.beat(1030.0);
+    member.answered(1030.0, answer(2.0, agreed(12, 4, Some((12, 6)))), 1040.0);
+    assert_eq!(member.next_beat(), 1290.0);
+}
