--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -113,10 +113,11 @@
     /// # Errors
     /// The address is not free.
     pub fn start_on(listen: SocketAddr, target: SocketAddr) -> Result<Self, RelayError> {
-        let port = link::Port::hold(listen).map_err(|source| RelayError { address: listen, source })?;
+        let (port, listener) =
+            link::Port::hold(listen).map_err(|source| RelayError { address: listen, source })?;
         let address = port.address();
         let (state, watched) = watch::channel(State::default());
-        let task = tokio::spawn(link::run(port, target, watched)).abort_handle();
+        let task = tokio::spawn(link::run(port, listener, target, watched)).abort_handle();
         Ok(Self { address, state, task })
     }
 
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinSet;
 
 use crate::pump::{pump, End, Seen};
-use crate::{Flow, State, CONNECTIONS_MOST};
+use crate::{Fault, Flow, State, CONNECTIONS_MOST};
 
 /// Connections that the system keeps ready to be accepted.
 const BACKLOG: i32 = 256;
@@ -33,13 +33,13 @@
 }
 
 impl Port {
-    pub(crate) fn hold(address: SocketAddr) -> io::Result<Self> {
+    /// Takes a port, and listens there already.
+    pub(crate) fn hold(address: SocketAddr) -> io::Result<(Self, TcpListener)> {
         let held = bound(address)?;
         let address = held.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
         let port = Self { address, _held: held };
-        // Whether it can be listened on is known before anyone is told of it.
-        port.listen()?;
-        Ok(port)
+        let listener = port.listen()?;
+        Ok((port, listener))
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -54,10 +54,15 @@
 }
 
 /// Accepts connections, unless new ones are refused, until the relay is dropped.
-pub(crate) async fn run(port: Port, target: SocketAddr, mut state: watch::Receiver<State>) {
+pub(crate) async fn run(
+    port: Port,
+    listener: TcpListener,
+    target: SocketAddr,
+    mut state: watch::Receiver<State>,
+) {
     let room = Arc::new(Semaphore::new(CONNECTIONS_MOST));
     let mut open = JoinSet::new();
-    let mut listener = None;
+    let mut listener = Some(listener);
     loop {
         if state.borrow_and_update().fault.refuse {
             listener = None;
@@ -120,12 +125,12 @@
     let mut lost = false;
     let mut scrap = [0; 4096];
     loop {
-        let there = seen.now().fault.there;
+        let Ok(State { fault: Fault { there, .. }, .. }) = seen.now() else { return false };
         if there.delivers() {
             return !lost;
         }
         tokio::select! {
-            changed = seen.changed() => if changed.is_err() { return false },
+            () = seen.changed() => {}
             readable = client.readable(), if there == Flow::Hole => {
                 match readable.and_then(|()| client.try_read(&mut scrap)) {
                     Ok(0) => return false,
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -35,20 +35,23 @@
         Self { state, resets }
     }
 
-    pub(crate) fn now(&mut self) -> State {
-        *self.state.borrow_and_update()
-    }
-
-    /// Waits for a change.
+    /// What holds now.
     ///
     /// # Errors
     /// The connection is to be reset.
-    pub(crate) async fn changed(&mut self) -> Result<(), End> {
-        self.state.changed().await.map_err(|_| End::Reset)?;
-        if self.state.borrow().resets > self.resets {
+    pub(crate) fn now(&mut self) -> Result<State, End> {
+        let state = *self.state.borrow_and_update();
+        if state.resets > self.resets {
             return Err(End::Reset);
         }
-        Ok(())
+        Ok(state)
+    }
+
+    /// Waits until something else holds; never returns once the relay has ended, as its connections end with it.
+    pub(crate) async fn changed(&mut self) {
+        if self.state.changed().await.is_err() {
+            std::future::pending().await
+        }
     }
 }
 
@@ -79,7 +82,7 @@
     let mut next_write = Instant::now();
     let mut chunk = vec![0; CHUNK];
     loop {
-        let state = seen.now();
+        let state = seen.now()?;
         let flow = way(&state.fault);
         if sets.replace(state.sets) != Some(state.sets) {
             left = if let Flow::Break(bytes) = flow { bytes } else { u64::MAX };
@@ -113,7 +116,7 @@
             }
         };
         tokio::select! {
-            changed = seen.changed() => changed?,
+            () = seen.changed() => {}
             written = write => {
                 let written = written.map_err(|_| End::Reset)?;
                 let piece = held.front_mut().expect("some of it was written");
