Cut links of the control group in the lab, by a relay on each; play changes of policy in the tests

Nodes and replicas had each other's own addresses, so no fault could come between them.

Each link from a node to a replica, and from a replica to another, has a relay now, on a thread of its own. A group tells one address of each replica, also to nodes that look for the leader: a front listens there, reads from the first request who has connected, and passes the connection on by that party's relay. cut-control cuts nodes from all replicas, cut-replica a replica from all others, both ways or one.

--- a/crates/lab/src/live/address.rs
+++ b/crates/lab/src/live/address.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 
 use super::LabError;
+use crate::plan::REPLICAS_MOST;
 
 /// The second bytes of the blocks that runs may claim.
 const BLOCKS: std::ops::Range<u8> = 64..192;
@@ -14,9 +15,14 @@
 const NODES: u8 = 1;
 const LISTS: u8 = 8;
 const SERVERS: u8 = 32;
-/// Replicas of the control group.
+/// Replicas, their links to each other, the addresses that they tell, and the links of nodes to each of them.
 const REPLICAS: u8 = 16;
+const BETWEEN: u8 = 17;
+const GROUP: u8 = 18;
+const CONTROL: u8 = 96;
 const CONTROL_PORT: u16 = 9_300;
+/// Blocks that the nodes' links to one replica have.
+const NODE_BLOCKS: u8 = 2;
 /// Blocks of 250 addresses that each zone's servers have.
 const SERVER_BLOCKS: u8 = 8;
 const IN_BLOCK: usize = 250;
@@ -80,6 +86,21 @@
         self.at(REPLICAS, replica, CONTROL_PORT)
     }
 
+    /// Where a replica is reached, as the group tells it.
+    pub fn replica_of_group(self, replica: usize) -> SocketAddr {
+        self.at(GROUP, replica, CONTROL_PORT)
+    }
+
+    /// Where a replica reaches another.
+    pub fn replica_for_replica(self, from: usize, to: usize) -> SocketAddr {
+        self.at(BETWEEN, REPLICAS_MOST * from + to, CONTROL_PORT)
+    }
+
+    /// Where a node reaches a replica.
+    pub fn replica_for_node(self, node: usize, replica: usize) -> SocketAddr {
+        self.at(CONTROL + NODE_BLOCKS * replica as u8, node, CONTROL_PORT)
+    }
+
     /// Where the nodes of a zone reach a server.
     pub fn server(self, server: usize, zone: usize) -> SocketAddr {
         self.at(SERVERS + SERVER_BLOCKS * zone as u8, server, PORT)
@@ -89,7 +110,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::plan::{NODES_MOST, REPLICAS_MOST, SERVERS_MOST, ZONES_MOST};
+    use crate::plan::{NODES_MOST, SERVERS_MOST, ZONES_MOST};
     use std::collections::BTreeSet;
 
     #[test]
@@ -108,7 +129,13 @@
             }
         }
         for replica in 0..REPLICAS_MOST {
-            assert!(seen.insert(a.replica(replica).ip()));
+            assert!(seen.insert(a.replica(replica).ip()) && seen.insert(a.replica_of_group(replica).ip()));
+            for other in 0..REPLICAS_MOST {
+                assert!(seen.insert(a.replica_for_replica(replica, other).ip()));
+            }
+            for node in 0..NODES_MOST {
+                assert!(seen.insert(a.replica_for_node(node, replica).ip()));
+            }
         }
         assert!(seen.iter().all(std::net::IpAddr::is_loopback));
     }
--- a/crates/lab/src/live/group.rs
+++ b/crates/lab/src/live/group.rs
@@ -1,6 +1,6 @@
 //! The control group: real replicas, what faults do to them, and the operator who asks for policies.
 //!
-//! What the operator is told is what the referee judges by.
+//! The operator's own calls go straight to the replicas, past all cuts: what he is told is what the referee judges by.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -23,6 +23,7 @@
 use tokio::task::spawn_local;
 
 use super::address::Addresses;
+use super::links::{Links, Party};
 use super::process::{self, spawn};
 use super::{LabError, Stage, GONE};
 use crate::draw::FaultSpec;
@@ -52,6 +53,7 @@
     addresses: Addresses,
     control: Control,
     replicas: Vec<Replica>,
+    links: Links,
     /// Whom the faults struck that are not over.
     struck: RefCell<BTreeMap<usize, Vec<usize>>>,
 }
@@ -65,22 +67,33 @@
 }
 
 impl Group {
-    /// Nobody has started yet; state folders go under `folder`.
-    pub fn new(control: &Control, program: &Path, folder: &Path, logs: &Path, addresses: Addresses) -> Self {
-        Self {
+    /// Nobody has started yet, but for the links; state folders go under `folder`.
+    ///
+    /// # Errors
+    /// Where a link can't be had.
+    pub fn new(
+        control: &Control,
+        program: &Path,
+        folder: &Path,
+        logs: &Path,
+        addresses: Addresses,
+        nodes: usize,
+    ) -> Result<Self, LabError> {
+        Ok(Self {
             program: program.into(),
             folder: folder.into(),
             logs: logs.into(),
             addresses,
             control: control.clone(),
             replicas: (0..control.replicas).map(|_| Replica::default()).collect(),
+            links: Links::new(addresses, nodes, control.replicas)?,
             struck: RefCell::default(),
-        }
+        })
     }
 
     /// What a node's configuration says of the group.
-    pub fn node_config(&self) -> Value {
-        let replicas = self.numbers().map(|r| self.at(r).to_string());
+    pub fn node_config(&self, node: usize) -> Value {
+        let replicas = self.numbers().map(|r| self.addresses.replica_for_node(node, r).to_string());
         let mut config = json!({"replicas": replicas.collect::<Vec<_>>()});
         match self.control.start {
             Start::Wait => config["start"] = json!("wait"),
@@ -104,7 +117,7 @@
     /// A replica's configuration.
     fn config(&self, replica: usize) -> toml::Table {
         let address = |other: usize| {
-            let at = self.at(other);
+            let at = self.addresses.replica_of_group(other);
             ((other + 1).to_string(), toml::Value::from(at.to_string()))
         };
         let mut terms = self.control.terms.clone();
@@ -219,8 +232,13 @@
     let Some(group) = &stage.group else { return };
     let draw = stage.world().draw().clone();
     let fault = &draw.faults[number];
-    if fault.kind == Trouble::Policy {
-        return propose(&stage, group, fault).await;
+    match fault.kind {
+        Trouble::Policy => return propose(&stage, group, fault).await,
+        Trouble::CutControl => {
+            let nodes: Vec<Party> = fault.targets.iter().copied().map(Party::Node).collect();
+            return group.links.cut(number, &nodes, fault.way);
+        }
+        _ => {}
     }
     let leader = leader(group).await;
     let targets: Vec<usize> = match fault.kind {
@@ -232,6 +250,10 @@
     if leader.is_some_and(|leader| targets.contains(&leader)) {
         probe(&stage, fault.at);
     }
+    if fault.kind == Trouble::CutReplica {
+        let replicas: Vec<Party> = targets.iter().copied().map(Party::Replica).collect();
+        group.links.cut(number, &replicas, fault.way);
+    }
     let pause = (fault.until - fault.at) / fault.steps as u64;
     for (k, replica) in targets.iter().copied().enumerate() {
         match fault.kind {
@@ -254,6 +276,7 @@
     let Some(group) = &stage.group else { return };
     let draw = stage.world().draw().clone();
     let fault = &draw.faults[number];
+    group.links.mend(number);
     let targets = group.struck.borrow_mut().remove(&number).unwrap_or_default();
     for replica in targets {
         match fault.kind {
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod clients;
 mod group;
+mod links;
 mod process;
 mod servers;
 
@@ -178,7 +179,9 @@
     let clients_most = (plan.node.sockets / 3).max(1) as usize;
     let nodes = draw.nodes.len();
     let control = plan.control.as_ref().map(toml::Spanned::get_ref);
-    let group = control.map(|c| Group::new(c, &options.control, folder.path(), options.logs, addresses));
+    let group = control
+        .map(|c| Group::new(c, &options.control, folder.path(), options.logs, addresses, draw.nodes.len()))
+        .transpose()?;
     let mut world = World::new(draw, plan.rules.clone(), 0.0, dial);
     if let Some(control) = control {
         world.expect_epochs(ms(control.promise_ms() * (1.0 + 2.0 * DRIFT) + plan.rules.slack_ms));
@@ -336,7 +339,7 @@
             serde_json::to_value(world.line(node, 0, world.version(node)))
         };
         let known = known.map_err(|e| LabError::start(node, e))?;
-        let control = self.group.as_ref().map(|group| group.node_config());
+        let control = self.group.as_ref().map(|group| group.node_config(node));
         let process = self.launch.start(node, state.life.replace(state.life.get() + 1), known, control)?;
         state.id.set(Some(process.id()));
         let stage = self.clone();
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -503,7 +503,7 @@
     }
 }
 
-/// The control group: real replicas.
+/// The control group: real replicas, with a relay on each link between them and from each node to each.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Control {
@@ -614,22 +614,26 @@
     ReplicaRestart,
     /// All replicas are killed, and started again after `for_s`.
     GroupLost,
+    /// Nothing passes between nodes and the replicas, both ways or one (`out` of the nodes, `in`to them).
+    CutControl,
+    /// Nothing passes between replicas and all others, nodes too, both ways or one.
+    CutReplica,
 }
 
 impl Trouble {
     /// It strikes replicas, by number from 1 on.
     pub fn of_replicas(self) -> bool {
-        matches!(self, Self::ReplicaKill | Self::ReplicaStop | Self::ReplicaRestart)
+        matches!(self, Self::ReplicaKill | Self::ReplicaStop | Self::ReplicaRestart | Self::CutReplica)
     }
 
     /// It strikes nodes.
     pub fn of_nodes(self) -> bool {
-        matches!(self, Self::Kill | Self::Restart | Self::Stop | Self::Crowd)
+        matches!(self, Self::Kill | Self::Restart | Self::Stop | Self::Crowd | Self::CutControl)
     }
 
     /// It needs a control group.
     pub fn of_control(self) -> bool {
-        self.of_replicas() || matches!(self, Self::Policy | Self::GroupLost)
+        self.of_replicas() || matches!(self, Self::Policy | Self::GroupLost | Self::CutControl)
     }
 }
 
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -56,7 +56,9 @@
             | Trouble::ReplicaKill
             | Trouble::ReplicaStop
             | Trouble::ReplicaRestart
-            | Trouble::GroupLost => self.out.push_back(Out::Strike(n)),
+            | Trouble::GroupLost
+            | Trouble::CutControl
+            | Trouble::CutReplica => self.out.push_back(Out::Strike(n)),
         }
     }
 
@@ -87,7 +89,9 @@
             | Trouble::ReplicaKill
             | Trouble::ReplicaStop
             | Trouble::ReplicaRestart
-            | Trouble::GroupLost => self.out.push_back(Out::Heal(n)),
+            | Trouble::GroupLost
+            | Trouble::CutControl
+            | Trouble::CutReplica => self.out.push_back(Out::Heal(n)),
         }
     }
 
--- a/crates/stoneshift/tests/lab.rs
+++ b/crates/stoneshift/tests/lab.rs
@@ -89,6 +89,50 @@
     }
 }
 
+/// A small fleet under three replicas, with terms for busy cores.
+const AGREED: &str = "length_s = 11\n[fleet]\nnodes = 4\nservers = 6\n[load]\nof_capacity = 0.3\n\
+    [control.terms]\nstage_ms = 4000\npromise_ms = 4000\nsession_ms = 4000\n";
+
+/// Operators ask for a policy.
+fn policy(at_s: f64, attempts: u32) -> String {
+    format!(
+        "[[fault]]\nkind = \"policy\"\nat_s = {at_s}\nfor_s = 4\n\
+        policy = {{ Limits = {{ AttemptsCap = {attempts} }} }}\n"
+    )
+}
+
+/// How many rules on policies were broken; cores that are busy may break others.
+fn policy_rules_broken(result: &Value) -> usize {
+    let broken = result["broken"].as_array().expect("a list");
+    let on_policies =
+        |b: &&Value| ["mixed", "aborted", "lost", "backward"].iter().any(|rule| b["rule"] == *rule);
+    broken.iter().filter(on_policies).count()
+}
+
+#[test]
+fn a_policy_takes_hold_at_all_nodes_also_at_one_that_was_down() {
+    let down = "[[fault]]\nkind = \"kill\"\nat_s = 1\nfor_s = 6\nids = [1]\n";
+    let (output, result) = play(&format!("{AGREED}{down}{}", policy(2.0, 4)), &[]);
+    let result = result.expect("written");
+    let words = String::from_utf8_lossy(&output.stdout);
+    assert_eq!(policy_rules_broken(&result), 0, "{words}");
+    let change = &result["control"]["changes"][0];
+    assert_eq!(change["outcome"], serde_json::json!({"committed": 1}), "{words}");
+    assert!(change["active_ms"].as_f64() > Some(0.0), "{words}");
+}
+
+#[test]
+fn no_change_is_half_made_when_the_leader_is_killed_in_its_middle() {
+    let killed = "[[fault]]\nkind = \"replica-kill\"\nwhich = \"leader\"\nat_s = 1.05\nfor_s = 2\n";
+    let (output, result) = play(&format!("{AGREED}{}{killed}{}", policy(1.0, 4), policy(7.0, 3)), &[]);
+    let result = result.expect("written");
+    let words = String::from_utf8_lossy(&output.stdout);
+    assert_eq!(policy_rules_broken(&result), 0, "{words}");
+    let control = &result["control"];
+    assert!(control["changes"][1]["outcome"]["committed"].as_u64() >= Some(1), "{words}");
+    assert!(control["write_gaps_ms"][0].as_f64() > Some(0.0), "{words}");
+}
+
 #[test]
 fn what_must_hold_and_does_not_is_told_by_the_exit_code() {
     let text = "length_s = 2\n[fleet]\nservers = 4\n[load]\nof_capacity = 0.2\n[hold]\nserved = 1.01\n";
