--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -376,14 +376,27 @@
     log: Arc<Mutex<Vec<String>>>,
 }
 
+/// The node's program: this package's own, or for tests of another package the one that the workspace has built.
+fn program() -> String {
+    option_env!("CARGO_BIN_EXE_glenwood").map_or_else(
+        || {
+            let test = std::env::current_exe().expect("it runs");
+            let beside = test.ancestors().nth(2).expect("it is in a folder of the build's").join("glenwood");
+            assert!(beside.is_file(), "the node is built with the workspace: cargo test --workspace");
+            beside.display().to_string()
+        },
+        str::to_owned,
+    )
+}
+
 fn command(config: &Value, descriptors: Option<usize>) -> (Command, String) {
     static COUNT: AtomicUsize = AtomicUsize::new(0);
     let count = COUNT.fetch_add(1, Ordering::SeqCst);
     let file = format!("{}/config-{}-{count}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     std::fs::write(&file, config.to_string()).expect("a file");
-    let program = env!("CARGO_BIN_EXE_glenwood");
+    let program = program();
     let mut command = match descriptors {
-        None => Command::new(program),
+        None => Command::new(&program),
         Some(n) => {
             let mut shell = Command::new("sh");
             shell.arg("-c").arg(format!("ulimit -n {n}; exec '{program}'"));
