--- a/crates/stoneshift/tests/outage.rs
+++ b/crates/stoneshift/tests/outage.rs
@@ -1,10 +1,10 @@
 //! A control group of real replicas through kills, stops and cuts: nothing that was acknowledged is lost.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
-use fixture::{until, Calls, Group};
+use fixture::{until, Calls, Group, PATIENCE};
 use relay::{Fault, Flow};
 use serde_json::{json, Value};
 
@@ -68,12 +68,16 @@
     let mut operator = Operator::of(&group);
     let acknowledged = AtomicU64::new(0);
     for cycle in 0..cycles {
-        let leader = operator.calls.until_led();
         let before = acknowledged.load(Ordering::SeqCst);
+        let over = AtomicBool::new(false);
         std::thread::scope(|scope| {
             scope.spawn(|| {
-                while operator.change(leader) {
-                    acknowledged.fetch_add(1, Ordering::SeqCst);
+                let start = Instant::now();
+                while !over.load(Ordering::SeqCst) && start.elapsed() < 2 * PATIENCE {
+                    let Some(leader) = operator.calls.leader() else { continue };
+                    while operator.change(leader) {
+                        acknowledged.fetch_add(1, Ordering::SeqCst);
+                    }
                 }
             });
             until("some changes are acknowledged", || {
@@ -82,6 +86,7 @@
             // Anywhere in the change after them.
             std::thread::sleep(Duration::from_micros(cycle * 7919 % 20_000));
             group.kill(&[0, 1, 2]);
+            over.store(true, Ordering::SeqCst);
         });
         (0..3).for_each(|replica| group.start_one(replica));
         operator.check(&[0, 1, 2]);
