Have the model say how much of their budget cold servers get

Need: a cold server's budget holds for the sum of nodes that share nothing; nobody saw how near it that sum comes. Change: the lab's servers keep what they were sent while cold; result and table show it. A test counts one server's use by hand.

--- a/crates/lab/src/result.rs
+++ b/crates/lab/src/result.rs
@@ -175,6 +175,12 @@
     /// Attempts at the server that got most of them, over the mean, in the worst 5 s.
     #[serde(default)]
     pub spread: f64,
+    /// Work that a cold server was sent in its worst window, as a part of what pushes it over.
+    #[serde(default)]
+    pub cold_most: f64,
+    /// Work that all servers were sent while cold, over what they could have done meanwhile.
+    #[serde(default)]
+    pub cold_sent: f64,
     /// The most memory that a node held, in MiB.
     pub node_memory_mb: f64,
     /// The most descriptors that a node held.
@@ -338,6 +344,7 @@
     let each = |count: f64| count / requests.max(1) as f64;
     let attempts = sum(|s| s.attempts);
     let asked: f64 = tally.windows.iter().flatten().map(|w| w.asked).sum();
+    let (cold_most, cold_sent) = world.cold_use();
     Cost {
         requests,
         tries: each(sum(|s| s.tries)),
@@ -349,6 +356,8 @@
         failed_late: tally.failed_late / asked.max(f64::MIN_POSITIVE),
         overdriven: world.overdriven(),
         spread: tally.spread(SPREAD_OVER, seconds_of(world.draw())),
+        cold_most,
+        cold_sent,
         node_memory_mb: held.0,
         node_descriptors: held.1,
         overdue: tally.overdue,
--- a/crates/lab/src/server.rs
+++ b/crates/lab/src/server.rs
@@ -81,6 +81,17 @@
     },
 }
 
+/// What a server was sent while it was cold.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ColdUse {
+    /// The most in a window, as a part of what pushes it over.
+    pub most: f64,
+    /// All of it, as work.
+    pub sent: f64,
+    /// All that it could have done meanwhile, as work.
+    pub able: f64,
+}
+
 #[derive(Debug)]
 struct Running {
     job: u64,
@@ -110,6 +121,7 @@
     choked: Choked,
     /// Work that arrived in the fall window: when, how much, from a node that was told of the start.
     pressure: VecDeque<(Us, f64, bool)>,
+    cold_use: ColdUse,
     /// Work that it has done in all.
     done: f64,
 }
@@ -129,6 +141,7 @@
             handshakes: 0.0,
             choked: Choked::No { crowded: None },
             pressure: VecDeque::new(),
+            cold_use: ColdUse::default(),
             done: 0.0,
         }
     }
@@ -153,6 +166,14 @@
         self.running.iter().map(|r| r.left).sum::<f64>() + self.waiting.iter().map(|w| w.1).sum::<f64>()
     }
 
+    /// What it was sent while it was cold, up to now.
+    pub fn cold_use(&self, now: Us) -> ColdUse {
+        let (f, age) = (&self.figures, self.born.map_or(0, |born| now.saturating_sub(born)));
+        let age = age.min(f.cold) as f64;
+        let warmths = f.cold_from * age + (1.0 - f.cold_from) * age * age / (2.0 * f.cold.max(1) as f64);
+        ColdUse { able: f.speed * f.cores as f64 * warmths, ..self.cold_use }
+    }
+
     /// Is it still warming up?
     pub fn cold(&self, now: Us) -> bool {
         self.born.is_some_and(|born| now < born + self.figures.cold)
@@ -234,6 +255,8 @@
         let sent: f64 = self.pressure.iter().map(|p| p.1).sum();
         let able = self.figures.speed * self.warmth(now) * self.figures.cores as f64;
         let budget = self.figures.fall_multiple * able * window as f64 + FALL_SLACK;
+        self.cold_use.sent += work;
+        self.cold_use.most = self.cold_use.most.max(sent / budget);
         let from_told = || self.pressure.iter().filter(|p| p.2).map(|p| p.1).sum::<f64>() / sent;
         (sent > budget).then(from_told)
     }
@@ -400,6 +423,22 @@
         assert_eq!(push(None), None);
     }
 
+    #[test]
+    fn a_cold_one_s_use_counts_until_it_is_warm() {
+        let mut server = Server::new(figures(), Some(0));
+        for n in 0..100 {
+            ends(&mut server, n * 50_000);
+            server.arrive(n, 30_000.0, true);
+        }
+        // Cold for 4 s: 80 requests of 30 ms, and 0.75 of a core on average.
+        let used = server.cold_use(5_000_000);
+        assert_eq!((used.sent, used.able), (80.0 * 30_000.0, 3_000_000.0 * server.figures().cores as f64));
+        assert!(
+            (0.1..0.2).contains(&used.most),
+            "0.6 of a core, over three times 1.2 and the slack: {used:?}"
+        );
+    }
+
     #[test]
     fn crowding_for_long_chokes_it_until_it_has_rested() {
         let mut server = Server::new(figures(), None);
--- a/crates/lab/src/world/figures.rs
+++ b/crates/lab/src/world/figures.rs
@@ -48,6 +48,19 @@
         self.tally.choked.len() as f64 / self.draw.servers.len() as f64
     }
 
+    /// What servers were sent while they were cold: in the most pushed one's worst window as a part of what pushes it
+    /// over, and in all, over what they could have done meanwhile.
+    pub fn cold_use(&self) -> (f64, f64) {
+        let lives =
+            self.servers.iter().map(|p| p.model.cold_use(self.now)).chain(self.cold_before.iter().copied());
+        let all = lives.fold(ColdUse::default(), |all, one| ColdUse {
+            most: all.most.max(one.most),
+            sent: all.sent + one.sent,
+            able: all.able + one.able,
+        });
+        (all.most, all.sent / all.able.max(1.0))
+    }
+
     /// How many rules were broken, and the first of them with names.
     pub fn breaches(&self) -> (usize, Vec<Breach>) {
         let (count, kept) = self.referee.breaches();
--- a/crates/lab/src/world/fleet.rs
+++ b/crates/lab/src/world/fleet.rs
@@ -118,6 +118,7 @@
             return;
         }
         place.done_before += place.model.work_done();
+        self.cold_before.push(place.model.cold_use(now));
         place.model = Server::new(place.spec.figures.clone(), Some(now));
         place.model.burden(place.slower, place.taken);
         (place.power, place.born_ms, place.life, place.due) = (Power::Up, born_ms, place.life + 1, None);
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -34,7 +34,7 @@
 use crate::listing::{Entry, List};
 use crate::plan::{Effect, Rules, Trouble, Way};
 use crate::referee::{About, Breach, Referee, Rule};
-use crate::server::{Arrived, Server, Us};
+use crate::server::{Arrived, ColdUse, Server, Us};
 use crate::tally::{End, Tally};
 
 /// An answer that comes later than this after its time, or never, is lost.
@@ -392,6 +392,8 @@
     links: Vec<Vec<Link>>,
     referee: Referee,
     tally: Tally,
+    /// What servers' former lives were sent while cold.
+    cold_before: Vec<ColdUse>,
     epochs: Option<Epochs>,
 }
 
@@ -433,6 +435,7 @@
             links: vec![vec![Link::default(); zones]; zones],
             referee: Referee::new(rules, draw.nodes.len()),
             tally: Tally::new(draw.classes.len()),
+            cold_before: Vec::new(),
             epochs: None,
             servers,
             draw,
--- a/crates/stoneshift/src/table.rs
+++ b/crates/stoneshift/src/table.rs
@@ -67,6 +67,11 @@
         "turned away {:.4} of attempts; wasted work {:.3}; failed only late {:.3}; choked servers {:.2}; spread {:.2}",
         c.turned_away, c.wasted, c.failed_late, c.overdriven, c.spread
     )?;
+    writeln!(
+        out,
+        "cold servers were sent {:.2} of what they could do, the most pushed one {:.2} of what pushes it over",
+        c.cold_sent, c.cold_most
+    )?;
     writeln!(
         out,
         "a node held {:.1} MiB and {} descriptors at most; {} answers overdue",
