--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -194,6 +194,30 @@
     assert!(!is_commit(&desk.answered(2000.0, staged(&a, 200.0, change, 2000.0)).1));
 }
 
+#[test]
+fn a_word_that_comes_out_of_order_takes_no_promise_back() {
+    let (a, b) = (process("a", 1), process("b", 1));
+    let mut desk = Desk::new(Unreachable::Abort, &[&a, &b]);
+    let change = desk.propose(100.0);
+    desk.answered(1900.0, staged(&a, 1800.0, change, 2000.0));
+    desk.answered(1950.0, staged(&a, 110.0, change, 2000.0));
+    assert!(is_commit(&desk.answered(2050.0, staged(&b, 1800.0, change, 2000.0)).1));
+}
+
+#[test]
+fn a_successor_waits_for_the_lease_of_the_silent_one() {
+    let (old, new) = (process("a", 1), process("a", 2));
+    let mut desk = Desk::new(Unreachable::Fence, &[&old]);
+    desk.beat(10.0, beat(&old, None));
+    // Its answer, with a lease, is late.
+    assert_eq!(answers(&desk.input(1500.0, Input::Confirmed { asked: 10.0 })), 1);
+    assert_eq!(written(&desk.beat(3500.0, beat(&new, None))), []);
+    assert!(matches!(
+        &written(&desk.input(3521.0, Input::Tick))[..],
+        [Command::Roster(RosterCommand::Join { .. })]
+    ));
+}
+
 #[test]
 fn a_change_is_aborted_when_its_time_is_over_or_a_member_refuses() {
     let (a, b) = (process("a", 1), process("b", 1));
@@ -217,6 +241,7 @@
 fn a_silent_member_is_fenced_only_when_its_lease_is_over_and_gets_none_meanwhile() {
     let (a, b) = (process("a", 1), process("b", 1));
     let mut desk = Desk::new(Unreachable::Fence, &[&a, &b]);
+    desk.input(0.0, Input::Tick);
     assert_eq!(desk.answered(50.0, beat(&b, None)).0.expect("a member").lease_ms, Some(2000.0));
     let change = desk.propose(100.0);
     for now in [500.0, 1000.0, 1500.0, 2070.0] {
@@ -271,7 +296,9 @@
 
     let mut desk = Desk::new(Unreachable::Fence, &[&a]);
     desk.apply(&join(&b, false));
+    desk.input(0.0, Input::Tick);
     let change = desk.propose(100.0);
+    assert_eq!(desk.answered(2050.0, staged(&a, 2050.0, change, 2000.0)).1, []);
     let (_, commands) = desk.answered(2100.0, staged(&a, 2100.0, change, 2000.0));
     assert_eq!(silent(&commands), ["b"], "it joined a fleet that was not fenced");
 }
--- a/crates/member/tests/side.rs
+++ b/crates/member/tests/side.rs
@@ -233,3 +233,20 @@
     member.answered(1030.0, answer(2.0, agreed(12, 4, Some((12, 6)))), 1040.0);
     assert_eq!(member.next_beat(), 1290.0);
 }
+
+#[test]
+fn an_answer_to_an_older_beat_makes_no_promise_shorter() {
+    let mut member = staged();
+    member.beat(500.0);
+    member.answered(500.0, answer(5.0, agreed(9, 4, Some((9, 5)))), 1100.0);
+    assert_eq!(member.admit(2999.0), Ok(4));
+}
+
+#[test]
+fn a_group_that_lost_its_log_ends_no_doubt() {
+    let mut member = staged();
+    member.beat(1500.0);
+    let effects = member.answered(1500.0, answer(1.0, agreed(5, 4, None)), 1600.0);
+    assert!(matches!(&effects[..], [Effect::Tell(_)]), "{effects:?}");
+    assert_eq!(member.admit(3000.0), Err(Held::Doubt), "neither ended nor made longer");
+}
