Have what a leader decided in its term be void in the log of another term

Change: an entry may name the one term whose leader may write it; as an entry of another term it is void when it is applied, at every replica alike (Replica::write_in). A confirm counts only while the core is still in that term.

--- a/crates/consensus/src/machine.rs
+++ b/crates/consensus/src/machine.rs
@@ -81,21 +81,29 @@
     }
 }
 
-/// A command, and whether the log of this replica has taken it: the library answers "not the leader" both before it
-/// wrote anything and when it lost leadership after.
+/// A command, the one term whose leader may write it, and whether the log of this replica has taken it: the library
+/// answers "not the leader" both before it wrote anything and when it lost leadership after.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(transparent, bound(serialize = "C: Serialize", deserialize = "C: DeserializeOwned"))]
+#[serde(bound(serialize = "C: Serialize", deserialize = "C: DeserializeOwned"))]
 pub(crate) struct Logged<C> {
     command: C,
+    /// An entry of another term's leader is void. Any may write where it is `None`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    term: Option<u64>,
     #[serde(skip)]
     taken: Arc<AtomicBool>,
 }
 
 impl<C> Logged<C> {
     /// The command, and what tells whether the log took it.
-    pub(crate) fn new(command: C) -> (Self, Arc<AtomicBool>) {
+    pub(crate) fn new(command: C, term: Option<u64>) -> (Self, Arc<AtomicBool>) {
         let taken = Arc::new(AtomicBool::new(false));
-        (Self { command, taken: Arc::clone(&taken) }, taken)
+        (Self { command, term, taken: Arc::clone(&taken) }, taken)
+    }
+
+    /// What an entry that was written in this term holds; `None` where it is void.
+    fn written_in(&self, term: u64) -> Option<&C> {
+        self.term.is_none_or(|only| only == term).then_some(&self.command)
     }
 
     /// The log takes it now.
@@ -173,7 +181,10 @@
             let mut state = self.shared.state.write().unwrap_or_else(PoisonError::into_inner);
             replies.push(match entry.payload {
                 EntryPayload::Blank => None,
-                EntryPayload::Normal(logged) => Some(state.0.apply(index, &logged.command)),
+                EntryPayload::Normal(logged) => {
+                    let command = logged.written_in(entry.log_id.leader_id.term);
+                    command.map(|command| state.0.apply(index, command))
+                }
                 EntryPayload::Membership(members) => {
                     self.members = Members::new(Some(entry.log_id), members);
                     None
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -199,6 +199,27 @@
     /// [`WriteError::NotLeader`], [`WriteError::Busy`] and [`WriteError::TooLarge`] say that nothing was written; after
     /// the others it may have been, or may be yet.
     pub async fn write(&self, command: M::Command) -> Result<(u64, M::Reply), WriteError> {
+        let void = WriteError::Unavailable { why: "the log took it as something else" };
+        let (version, reply) = self.log(command, None).await?;
+        Ok((version, reply.ok_or(void)?))
+    }
+
+    /// Writes what was decided while this replica led in `term`: an entry that it writes as the leader of another term
+    /// is void at every replica, so a leader that was deposed and has come back writes nothing that it decided before.
+    ///
+    /// # Errors
+    /// As [`Replica::write`]; [`WriteError::NotLeader`] for a void entry, too.
+    pub async fn write_in(&self, term: u64, command: M::Command) -> Result<(u64, M::Reply), WriteError> {
+        let (version, reply) = self.log(command, Some(term)).await?;
+        Ok((version, reply.ok_or(WriteError::NotLeader { leader: None })?))
+    }
+
+    /// The version and the reply; none where the entry is void.
+    async fn log(
+        &self,
+        command: M::Command,
+        term: Option<u64>,
+    ) -> Result<(u64, Option<M::Reply>), WriteError> {
         let inner = &self.0;
         let size = encode(&command).len();
         if size > inner.config.command_most {
@@ -207,7 +228,7 @@
         let Ok(permit) = Arc::clone(&inner.writes).try_acquire_owned() else {
             return Err(WriteError::Busy { most: inner.config.writes_most });
         };
-        let (logged, taken) = Logged::new(command);
+        let (logged, taken) = Logged::new(command, term);
         let raft = inner.raft.clone();
         // The permit is held until the fate is known, so that a leader that is cut off doesn't fill its log.
         let written = tokio::spawn(async move {
@@ -218,10 +239,7 @@
         let late = WriteError::Unavailable { why: "no majority of replicas took it in time" };
         let result = timeout(self.write_bound(), written).await.map_err(|_| late)?;
         match result {
-            Ok(Ok(response)) => match response.data {
-                Some(reply) => Ok((response.log_id.index, reply)),
-                None => Err(WriteError::Unavailable { why: "the log took it as something else" }),
-            },
+            Ok(Ok(response)) => Ok((response.log_id.index, response.data)),
             Ok(Err(RaftError::APIError(ClientWriteError::ForwardToLeader(to)))) => {
                 if taken.load(std::sync::atomic::Ordering::Acquire) {
                     return Err(WriteError::Unavailable {
--- a/crates/consensus/tests/still.rs
+++ b/crates/consensus/tests/still.rs
@@ -63,3 +63,24 @@
         "a superseded write was applied"
     );
 }
+
+/// What a leader decided in its term is void as an entry of any other term, at each replica, also if the same replica
+/// leads again.
+#[tokio::test]
+async fn what_was_decided_in_another_term_is_void() {
+    let group = Group::started(3, |_| {});
+    let leader = group.leader().await;
+    let replica = group.place(leader).replica().expect("it runs");
+    let term = replica.leading().borrow().term;
+    let note = |number| Note { number, bytes: String::new() };
+    let (late, timely) = (group.number(), group.number());
+    for other in [term - 1, term + 1] {
+        let written = replica.write_in(other, note(late)).await;
+        assert!(matches!(written, Err(WriteError::NotLeader { .. })), "term {other}: {written:?}");
+    }
+    let (version, _) = replica.write_in(term, note(timely)).await.expect("it leads in this term");
+    group.agree(&[(timely, version)]).await;
+    for place in group.places.values() {
+        assert!(place.book().notes.iter().all(|(_, number)| *number != late), "a void entry was applied");
+    }
+}
--- a/crates/control/src/edge/actor.rs
+++ b/crates/control/src/edge/actor.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use consensus::{Leading, Replica, WriteError};
+use consensus::{Leading, Replica};
 use member::{Answer, Beat, Epoch, Millis, Process, Word};
 use serde::Serialize;
 use tokio::net::TcpStream;
@@ -299,14 +299,9 @@
             Effect::Write(command) => {
                 let term = self.number;
                 self.tasks.spawn(async move {
-                    // The word of who leads comes by way of a task; this is the core's own. A replica that was deposed
-                    // and has come back would write under its next term what it decided in the last.
-                    let status = replica.status();
-                    let outcome = if (status.role.as_str(), status.term) == ("leader", term) {
-                        replica.write(command.clone()).await.map(|(_, outcome)| outcome)
-                    } else {
-                        Err(WriteError::NotLeader { leader: None })
-                    };
+                    // What was decided in this term is void in the log of another one.
+                    let written = replica.write_in(term, command.clone()).await;
+                    let outcome = written.map(|(_, outcome)| outcome);
                     if let Err(error) = &outcome {
                         tracing::debug!(%error, ?command, "a write of the leader failed");
                     }
@@ -314,10 +309,16 @@
                 });
             }
             Effect::Confirm => {
+                let term = self.number;
                 self.tasks.spawn(async move {
-                    match replica.confirm().await {
-                        Ok(()) => Input::Confirmed { asked: now },
-                        Err(_) => Input::Unconfirmed { asked: now },
+                    let confirmed = replica.confirm().await.is_ok();
+                    // The word of who leads comes by way of a task; this is the core's own. A replica that was deposed
+                    // and has come back would confirm its next term.
+                    let status = replica.status();
+                    if confirmed && (status.role.as_str(), status.term) == ("leader", term) {
+                        Input::Confirmed { asked: now }
+                    } else {
+                        Input::Unconfirmed { asked: now }
                     }
                 });
             }
