Kill the leader after each message that leaves it in a change of policy

Three replicas, each on a runtime of its own that is ended in mid-work, each behind a relay that counts what leaves the leader once the proposal is on its way (messages to replicas, answers to nodes and operator; heartbeats are among them). After the k-th nothing more passes and the leader is killed; the two left end the change, then the killed one is started again on its disk. k = 1, 2, 3 ... until the change was over and known to all nodes before the kill. Two stories: all stage, one refuses. Three members over real sockets are asked for admission every 4 ms. Held: one history at all replicas, before and after the return of the killed one; all nodes end at its epoch; 200 means committed and 409 aborted; nothing admitted under an aborted epoch; none under the old epoch later than the bound after another under the new one; none later than a promise after the last answer while in a change. No hook in the product. The tests' nodes give a beat up after 2 s and can be asked for admission.

--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -1,10 +1,11 @@
 //! A control group on loopback sockets, nodes that are members by the real [`Member`], and a caller.
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use member::{Answer, Effect, Epoch, Member, MemberConfig, Process, Start};
+use member::{Answer, Effect, Epoch, Held, Member, MemberConfig, Process, Start};
 use serde_json::Value;
 use tempfile::TempDir;
 use tokio::net::{TcpListener, TcpStream};
@@ -25,6 +26,9 @@
 /// The most time that anything in a test may take.
 pub const PATIENCE: Duration = Duration::from_secs(40);
 
+/// The most time that a beat may take.
+const BEAT: Duration = Duration::from_secs(2);
+
 /// Long enough for busy cores, short enough for a test.
 pub const TERMS: &str = "beat_ms = 50\nstage_ms = 8000\npromise_ms = 5000\nreserve_ms = 200";
 /// For changes that are to be aborted as somebody is silent.
@@ -141,7 +145,7 @@
     method: &str,
     path: &str,
     body: &str,
-) -> Result<Response<Incoming>, Box<dyn std::error::Error>> {
+) -> Result<Response<Incoming>, Box<dyn std::error::Error + Send + Sync>> {
     let stream = TcpStream::connect(at).await?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
@@ -154,12 +158,13 @@
     try_call(at, method, path, body).await.expect("it answers")
 }
 
-async fn try_call(
+/// The same, where the callee may be gone.
+pub async fn try_call(
     at: SocketAddr,
     method: &str,
     path: &str,
     body: &str,
-) -> Result<Told, Box<dyn std::error::Error>> {
+) -> Result<Told, Box<dyn std::error::Error + Send + Sync>> {
     let answered = async {
         let (head, body) = open(at, method, path, body).await?.into_parts();
         let bytes = body.collect().await?.to_bytes();
@@ -182,12 +187,56 @@
     pub name: String,
     active: watch::Receiver<Option<Epoch>>,
     orders: mpsc::UnboundedSender<Order>,
+    seat: Arc<Seat>,
     task: JoinHandle<()>,
 }
 
+/// A member, its clock, and when it took its last answer.
+struct Seat {
+    start: Instant,
+    member: Mutex<(Member, f64)>,
+}
+
+impl Seat {
+    fn with<R>(&self, f: impl FnOnce(&mut Member, f64) -> R) -> R {
+        let mut guard = self.member.lock().expect("no test panics with it");
+        f(&mut guard.0, self.start.elapsed().as_secs_f64() * 1000.0)
+    }
+
+    /// Takes an answer, and looks at a change that it brings; what is admitted then, and whether it is all over.
+    fn take(&self, sent: f64, answer: Answer, refuses: Option<&'static str>) -> (Option<Epoch>, bool) {
+        let mut guard = self.member.lock().expect("no test panics with it");
+        let now = self.start.elapsed().as_secs_f64() * 1000.0;
+        let (member, heard) = &mut *guard;
+        *heard = now;
+        for effect in member.answered(sent, answer, now) {
+            if let Effect::Check(change) = effect {
+                let result = refuses.map_or(Ok(()), |words| Err(words.to_owned()));
+                member.checked(change.id, result, now);
+            }
+        }
+        (member.admit(now).ok(), member.superseded())
+    }
+}
+
+/// What a node says when it is asked for admission.
+#[derive(Clone, Debug)]
+pub struct Said {
+    pub admitted: Result<Epoch, Held>,
+    /// A change that it has staged or looks at.
+    pub in_change: bool,
+    /// How long before it took its last answer, in milliseconds.
+    pub heard_ms: f64,
+}
+
 impl Node {
     /// Starts a node and waits until it is a member; `refuses` are its words against any change.
     pub async fn start(group: &Group, name: &str, refuses: Option<&'static str>) -> Self {
+        Self::join(group.addresses.values().copied().collect(), name, refuses).await
+    }
+
+    /// The same, by the replicas' addresses.
+    pub async fn join(replicas: Arc<[SocketAddr]>, name: &str, refuses: Option<&'static str>) -> Self {
         static BOOT: AtomicU64 = AtomicU64::new(1);
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
         let life = listener.local_addr().expect("it is bound");
@@ -195,17 +244,27 @@
         let config = MemberConfig { process, life, beside: false, start: Start::Wait };
         let (known, active) = watch::channel(None);
         let (orders, ordered) = mpsc::unbounded_channel();
-        let replicas: Arc<[SocketAddr]> = group.addresses.values().copied().collect();
-        let task = tokio::spawn(live(listener, config, replicas, refuses, known, ordered));
-        let mut node = Self { name: name.to_owned(), active, orders, task };
+        let member = Mutex::new((Member::new(config, None, 0.0), 0.0));
+        let seat = Arc::new(Seat { start: Instant::now(), member });
+        let task = tokio::spawn(live(listener, seat.clone(), replicas, refuses, known, ordered));
+        let mut node = Self { name: name.to_owned(), active, orders, seat, task };
         node.until(|_| true).await;
         node
     }
 
+    /// Asks it for admission at this moment.
+    pub fn ask(&self) -> Said {
+        let guard = self.seat.member.lock().expect("no test panics with it");
+        let now = self.seat.start.elapsed().as_secs_f64() * 1000.0;
+        let (member, heard) = &*guard;
+        Said { admitted: member.admit(now), in_change: member.change().is_some(), heard_ms: now - heard }
+    }
+
     /// Waits until it takes requests under such an epoch.
     pub async fn until(&mut self, fits: impl Fn(Epoch) -> bool) {
         let reached = self.active.wait_for(|epoch| epoch.is_some_and(&fits));
-        timeout(PATIENCE, reached).await.expect("in time").expect("the node lives");
+        let reached = timeout(PATIENCE, reached).await.map(|reached| reached.map(drop));
+        reached.unwrap_or_else(|_| panic!("{}: {:?}", self.name, self.ask())).expect("the node lives");
     }
 
     /// Takes requests under this epoch now.
@@ -234,39 +293,32 @@
 
 async fn live(
     _life: TcpListener,
-    config: MemberConfig,
+    seat: Arc<Seat>,
     replicas: Arc<[SocketAddr]>,
     refuses: Option<&'static str>,
     known: watch::Sender<Option<Epoch>>,
     mut orders: mpsc::UnboundedReceiver<Order>,
 ) {
-    let start = Instant::now();
-    let now = || start.elapsed().as_secs_f64() * 1000.0;
-    let mut member = Member::new(config, None, now());
     let mut at = 0;
     loop {
-        let wait = Duration::from_secs_f64((member.next_beat() - now()).clamp(0.0, 1000.0) / 1000.0);
+        let wait = seat.with(|member, now| (member.next_beat() - now).clamp(0.0, 1000.0) / 1000.0);
         tokio::select! {
-            () = sleep(wait) => {}
+            () = sleep(Duration::from_secs_f64(wait)) => {}
             order = orders.recv() => match order {
-                Some(Order::Bye) => drop(member.bye(now())),
+                Some(Order::Bye) => drop(seat.with(Member::bye)),
                 Some(Order::Silent) => return std::future::pending().await,
                 None => return,
             }
         }
-        let sent = now();
-        let beat = serde_json::to_string(&member.beat(sent)).expect("a beat has a form");
-        match try_call(replicas[at], "POST", "/v1/session", &beat).await {
+        let (sent, beat) = seat.with(|member, now| (now, member.beat(now)));
+        let beat = serde_json::to_string(&beat).expect("a beat has a form");
+        let answered = timeout(BEAT, try_call(replicas[at], "POST", "/v1/session", &beat)).await;
+        match answered.unwrap_or_else(|late| Err(late.into())) {
             Ok(Told { status: StatusCode::OK, body, .. }) => {
                 let answer: Answer = serde_json::from_value(body).expect("an answer");
-                for effect in member.answered(sent, answer, now()) {
-                    if let Effect::Check(change) = effect {
-                        let result = refuses.map_or(Ok(()), |words| Err(words.to_owned()));
-                        member.checked(change.id, result, now());
-                    }
-                }
-                known.send_replace(member.admit(now()).ok());
-                if member.superseded() {
+                let (admitted, superseded) = seat.take(sent, answer, refuses);
+                known.send_replace(admitted);
+                if superseded {
                     return;
                 }
             }
