Agree the types of votes on servers: figures, ballots, evidence, verdicts

Need: before a server is removed the nodes that send to it should agree. Shape: ballots go with the beats to the leader, which keeps them in its memory; verdicts are entries of the log, which holds the caps in its order; all figures are an object in the agreed policy, so that votes go on and off everywhere or nowhere. Rejected: ballots on the log (300 nodes that renew them each second would write more than all else), and gossip (two nodes would act on different counts). Nothing uses the types yet: the parts are built side by side on them.

--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod messages;
 pub mod policy;
 pub mod side;
+pub mod votes;
 
 pub use messages::*;
 pub use policy::Policy;
