--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -5,6 +5,8 @@
 use member::{Abort, ChangeId, Epoch, Policy, Process};
 use serde::{Deserialize, Serialize};
 
+use crate::verdicts::{Case, Why};
+
 /// One entry of the log.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -13,6 +15,8 @@
     Roster(RosterCommand),
     /// For the policy.
     Policy(PolicyCommand),
+    /// For servers that are removed by votes.
+    Verdict(VerdictCommand),
 }
 
 /// What changes the roster.
@@ -90,6 +94,60 @@
     },
 }
 
+/// What changes verdicts on servers. All are void while the agreed policy has no `Votes`. `at` is the version that the
+/// verdict last changed at: at another one the command is void, too.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VerdictCommand {
+    /// A server is removed, or from more zones than it was. Void ([`Outcome::Capped`]) where it would be over the cap
+    /// of its zone.
+    Remove {
+        /// The server.
+        server: String,
+        /// When the process started that is meant.
+        born_ms: f64,
+        /// The server's zone.
+        zone: String,
+        /// For nodes of these zones alone; for all where there are none.
+        zones: Vec<String>,
+        /// Servers that are up in its zone.
+        up: u32,
+        /// Terms that it had of late: the next one is as long as if these were this verdict's.
+        terms: u32,
+        /// By what.
+        case: Case,
+    },
+    /// Its term is over: these nodes send it a little again, and vote.
+    Probe {
+        /// The server.
+        server: String,
+        /// See above.
+        at: u64,
+        /// Names of nodes.
+        probers: Vec<String>,
+    },
+    /// Those that probed it are for another term.
+    Extend {
+        /// The server.
+        server: String,
+        /// See above.
+        at: u64,
+        /// By what.
+        case: Case,
+    },
+    /// It is back.
+    Return {
+        /// The server.
+        server: String,
+        /// See above.
+        at: u64,
+        /// Why.
+        why: Why,
+        /// By what, where there was a vote.
+        case: Option<Case>,
+    },
+}
+
 /// What comes of a command.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -118,8 +176,10 @@
         /// Who.
         missing: Vec<Process>,
     },
-    /// No such change is under way: it has ended.
+    /// No such change is under way, or the verdict is not as it was, or votes are off: nothing has changed.
     Over,
+    /// As many of the zone's servers are removed as may be; nothing has changed.
+    Capped,
     /// A newer process has taken this one's place, or operators have removed it.
     Superseded,
     /// The roster is full, or what came is too large; nothing has changed.
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -643,7 +643,8 @@
                     None => self.write_at = now + self.pace(),
                 }
             }
-            Command::Policy(PolicyCommand::Propose { .. }) => {}
+            // Verdicts are the tally's, beside.
+            Command::Policy(PolicyCommand::Propose { .. }) | Command::Verdict(_) => {}
         }
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,13 +5,15 @@
 //! | [`command`] | the log's commands, one enum a module, and what comes of them |
 //! | [`roster`] | which processes are members: join, leave, proven ended, removed |
 //! | [`policy`] | the agreed epoch, the change under way, how changes ended |
-//! | [`machine`] | both on the log: [`consensus::Machine`] |
+//! | [`verdicts`] | servers that are removed by votes, and the caps |
+//! | [`machine`] | all three on the log: [`consensus::Machine`] |
 //! | [`leader`] | pure too, but not on the log: sessions, promises and leases by one leader's monotonic clock; what it would have written, answered and asked |
+//! | [`tally`] | as the leader, beside it: ballots on servers, and the verdicts that follow from them |
 //! | [`config`] | one replica's configuration, checked whole |
 //! | [`hub`], [`gate`], [`sync`] | what threads share: the watch's newest line, and who is inside |
 //! | [`edge`] | HTTP: nodes' beats and watches, operators' calls, the replicas' own messages |
 //!
-//! Adding a subject (votes, the list, the catalog) is adding a module, its commands and its part of the snapshot.
+//! Adding a subject (the list, the catalog) is adding a module, its commands and its part of the snapshot.
 //!
 //! Rejected: staging acknowledged in the log, an entry a node: at 300 nodes a change would cost 300 synced writes where
 //! one does; the leader's memory is enough, as members say again what they have staged to whoever leads next.
@@ -26,3 +28,5 @@
 pub mod policy;
 pub mod roster;
 pub mod sync;
+pub mod tally;
+pub mod verdicts;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -1,4 +1,4 @@
-//! Roster and policy on the log: what [`consensus`] drives.
+//! Roster, policy and verdicts on the log: what [`consensus`] drives.
 
 use consensus::Machine;
 use member::Agreed;
@@ -7,9 +7,11 @@
 use crate::command::{Command, Outcome, RosterCommand};
 use crate::policy::Book;
 use crate::roster::Roster;
+use crate::verdicts::Verdicts;
 
-/// The schema of the snapshots that this program writes.
-const SCHEMA: u32 = 1;
+/// The newest schema of snapshots that this program reads. It writes the oldest one that tells all, so that a fleet
+/// which never had votes can go back to a program without them.
+const SCHEMA: u32 = 2;
 
 /// All that the fleet agrees on.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -17,6 +19,7 @@
     version: u64,
     roster: Roster,
     book: Book,
+    verdicts: Verdicts,
 }
 
 /// A snapshot as JSON; a later schema may be another shape, but keeps this field.
@@ -25,13 +28,15 @@
     schema: u32,
 }
 
-/// Schema 1.
+/// Schema 1; with verdicts, schema 2.
 #[derive(Deserialize, Serialize)]
 struct Snapshot {
     schema: u32,
     version: u64,
     roster: Roster,
     policy: Book,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    verdicts: Option<Verdicts>,
 }
 
 impl Agreement {
@@ -55,6 +60,11 @@
         &self.book
     }
 
+    /// What is agreed on servers.
+    pub fn verdicts(&self) -> &Verdicts {
+        &self.verdicts
+    }
+
     /// What nodes are told of policy.
     pub fn agreed(&self) -> Agreed {
         self.book.agreed()
@@ -74,16 +84,23 @@
                 }
                 self.roster.apply(command)
             }
-            Command::Policy(command) => self.book.apply(version, command, &self.roster),
+            Command::Policy(command) => {
+                let outcome = self.book.apply(version, command, &self.roster);
+                self.verdicts.policy(version, self.book.policy());
+                outcome
+            }
+            Command::Verdict(command) => self.verdicts.apply(version, command, self.book.policy()),
         }
     }
 
     fn snapshot(&self) -> Vec<u8> {
+        let verdicts = Some(&self.verdicts).filter(|verdicts| **verdicts != Verdicts::default());
         let snapshot = Snapshot {
-            schema: SCHEMA,
+            schema: if verdicts.is_some() { SCHEMA } else { 1 },
             version: self.version,
             roster: self.roster.clone(),
             policy: self.book.clone(),
+            verdicts: verdicts.cloned(),
         };
         serde_json::to_vec(&snapshot).expect("names and JSON values always serialize")
     }
@@ -97,8 +114,8 @@
                 header.schema
             ));
         }
-        let Snapshot { version, roster, policy, .. } =
+        let Snapshot { version, roster, policy, verdicts, .. } =
             serde_json::from_slice(bytes).map_err(|e| format!("snapshot is damaged: {e}"))?;
-        Ok(Self { version, roster, book: policy })
+        Ok(Self { version, roster, book: policy, verdicts: verdicts.unwrap_or_default() })
     }
 }
