Count ballots on servers beside the leader: questions, removals, terms, returns

Need: a verdict rests on those who have sent to the server of late, not on those alone that complain, and evidence that is thin at each node is plain in the sum. Votes.Evidence is new (attempts of all voters that a removal needs), Votes.Attempts is 1 by default, a voice weighs no more than the median one.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -187,3 +187,15 @@
     /// Nobody by that name.
     Unknown,
 }
+
+impl VerdictCommand {
+    /// The server that it is about.
+    pub fn server(&self) -> &str {
+        match self {
+            Self::Remove { server, .. }
+            | Self::Probe { server, .. }
+            | Self::Extend { server, .. }
+            | Self::Return { server, .. } => server,
+        }
+    }
+}
--- a/crates/member/src/votes.rs
+++ b/crates/member/src/votes.rs
@@ -31,17 +31,22 @@
     pub window: Millis,
     /// A ballot that is not renewed lapses after this time, in ms.
     pub ballot: Millis,
-    /// Attempts within the window that a node needs for a ballot at all.
+    /// Attempts within the window that a node needs for a ballot at all. One will do: where evidence is thin at each node,
+    /// it is still plain in the sum.
     pub attempts: u32,
     /// Failed part of a node's attempts within the window from which on it is for the removal, from 0 to 1.
     pub failed: f64,
     /// Votes for a removal that are needed at the least.
     pub voters: u32,
+    /// Attempts of all voters for a removal that are needed together, at the least.
+    pub evidence: u32,
     /// Part of the weight of all evidence that must be for a removal, over 0.5 to 1.
     pub majority: f64,
-    /// Attempts beyond which one voter's evidence weighs no more: so a liar claims no more than this.
+    /// Attempts beyond which one voter's evidence weighs no more; nor does it beyond the median of all voters. So a liar
+    /// gains nothing by claiming much.
     pub weight: u32,
-    /// A node that suspects a larger part of its servers doubts itself and abstains, from 0 to 1.
+    /// A node that suspects a larger part of its servers, and two of them at least, doubts itself and abstains, from 0
+    /// to 1.
     pub doubt: f64,
     /// The most of a zone's servers that are removed by votes at a time, from 0 to 1.
     pub cap: f64,
@@ -62,9 +67,10 @@
         Self {
             window: 5_000.0,
             ballot: 2_000.0,
-            attempts: 3,
+            attempts: 1,
             failed: 0.5,
             voters: 2,
+            evidence: 6,
             majority: 0.6,
             weight: 20,
             doubt: 0.4,
@@ -106,6 +112,7 @@
             ("Attempts", count(self.attempts), COUNT),
             ("Failed", part(self.failed), PART),
             ("Voters", count(self.voters), COUNT),
+            ("Evidence", count(self.evidence), COUNT),
             ("Majority", self.majority > 0.5 && self.majority <= 1.0, "a number above 0.5, up to 1"),
             (
                 "Weight",
@@ -232,7 +239,7 @@
         assert!(read(r#"{"Speed": 1}"#).is_err());
         for (json, words) in [
             (r#"{"Majority": 0.5}"#, "Votes.Majority: a number above 0.5, up to 1 expected"),
-            (r#"{"Weight": 2}"#, "Votes.Weight: no less than Attempts, up to 1,000 expected"),
+            (r#"{"Attempts": 3, "Weight": 2}"#, "Votes.Weight: no less than Attempts, up to 1,000 expected"),
             (r#"{"Cap": 0}"#, "Votes.Cap: a number above 0, up to 1 expected"),
             (r#"{"Term": 1e9}"#, "Votes.Term: a time from 100 to 600,000 ms expected"),
             (r#"{"Voters": 0}"#, "Votes.Voters: a whole number from 1 to 1,000 expected"),
