--- a/src/balance.rs
+++ b/src/balance.rs
@@ -15,8 +15,7 @@
 
 /// Part of the cold budget that is used; the rest is for chance and for uneven nodes.
 const SLOW_START_CAUTION: f64 = 0.5;
-/// Nodes that share one server where there are many: enough that their uneven traffic evens out, few enough
-/// for its connections, and for each to see the server often.
+/// Nodes that share one server where there are many: their uneven traffic evens out, each sees it often.
 const NODES_PER_SERVER: usize = 8;
 /// The fewest servers that a node rotates over, so that there is a round, and another when one fails.
 const SUBSET_LEAST: usize = 2;
@@ -30,16 +29,15 @@
 const LATE: f64 = 1.25;
 /// What an attempt that was cut off at its aim counts as: it would have taken about as long again.
 const CUT: f64 = 2.0;
-/// How strongly one answer moves the limit of its server.
+/// How strongly one answer moves the limit of its server, and how much it takes of one far from reached.
 const LIMIT_GAIN: f64 = 0.25;
+const LIMIT_FADE: f64 = 0.02;
 /// Part of its aim beyond which an answer tells that its server has too many turns.
 const SHARE_FROM: f64 = 0.25;
 /// How strongly one answer moves the learned share of its server, and how much of it is forgotten.
 const SHARE_GAIN: (f64, f64) = (0.05, 0.005);
 /// How strongly one answer moves the usual time of its class on its kind of machine.
 const TIME_GAIN: f64 = 0.02;
-/// How much of a limit that is far from reached an answer takes away.
-const LIMIT_FADE: f64 = 0.02;
 /// Attempts of all nodes out at a server at first, and the least own limit; below one, it rests between them.
 const LIMITS: (f64, f64) = (8.0, 0.05);
 /// The first of these where it is no more than one for each node that shares the server: such limits start
@@ -79,9 +77,8 @@
     requests: BTreeMap<RequestId, Request>,
     /// Requests held at the node.
     waiting: Vec<RequestId>,
-    /// The turn that was taken last.
+    /// The turn that was taken last, and the server that it fell to.
     cursor: f64,
-    /// The server that it fell to.
     cursor_at: Option<ServerId>,
     /// Since when some have been held without a break.
     held_since: Option<Millis>,
@@ -117,9 +114,8 @@
     factor: f64,
     /// Learned factor to its size.
     share: f64,
-    /// When its next turn comes; the rotation takes the least.
+    /// When its next turn comes, the rotation takes the least; and its warmth when that was set.
     turn: f64,
-    /// Its warmth when the turn was set.
     turn_warmth: f64,
     /// Own attempts that are out: request, attempt.
     out: Vec<(RequestId, usize)>,
@@ -130,9 +126,8 @@
     last_took: Millis,
     /// Time-outs and errors in a row.
     consecutive_failures: u32,
-    /// Refused and broken connections in a row.
+    /// Refused and broken connections in a row, and when the first of them came.
     consecutive_breaks: u32,
-    /// When the first of them came.
     broke: Millis,
     /// Ejections in a row.
     ejections: u32,
@@ -168,9 +163,8 @@
     tenant: Option<usize>,
     /// What an answer in time is worth.
     worth: f64,
-    /// When the client first asked, as far as its deadline tells.
+    /// When the client first asked, as far as its deadline tells, and when this try of it came.
     asked: Millis,
-    /// When this try of it came.
     came: Millis,
     deadline: Millis,
     attempts: Vec<Attempt>,
@@ -208,9 +202,8 @@
 /// A tenant's use of its share, and how well it is served within it.
 #[derive(Default)]
 struct TenantStats {
-    /// Own part of the share, in requests that may still come within it.
+    /// Own part of the share, in requests that may still come within it, and when that was counted.
     left: f64,
-    /// When that was counted.
     counted: Millis,
     care: Care,
 }
@@ -260,10 +253,9 @@
 }
 
 impl ClassStats {
-    /// How long ago the client first asked. A client that comes back after a refusal still gives up when the
-    /// time of its first asking ends: to take its request for a new one would spend work on what can no
-    /// longer be in time. The most time that a class's requests ever had left is that of new ones. Where
-    /// clients may repeat what they have given up, each try has a time of its own, cut short where the
+    /// How long ago the client first asked. One that comes back after a refusal still gives up when the time
+    /// of its first asking ends; the most time that requests of its class ever had left is that of new ones.
+    /// Where clients may repeat what they have given up, each try has a time of its own, cut short where the
     /// client's whole time ends sooner: of those marked as repeats, that tells when they first asked.
     fn age(&mut self, class: &Class, left: Millis, again: bool) -> Millis {
         if left.is_finite() {
@@ -288,10 +280,6 @@
         Self { entry, factor, share: 1.0, turn, turn_warmth: 1.0, limit, last_sent, ..Self::default() }
     }
 
-    fn listed_up(&self) -> bool {
-        self.entry.state == Listed::Up
-    }
-
     /// What was seen of the process before says nothing about the one that runs now.
     fn restarted(&mut self, returned: Option<Millis>) {
         (self.consecutive_failures, self.consecutive_breaks, self.ejections) = (0, 0, 0);
@@ -315,6 +303,12 @@
 }
 
 impl Request {
+    fn new(set: Arc<Settings>, now: Millis, class: usize, deadline: Millis) -> Self {
+        let (body, work, tenant, worth, streaming) = (Body::Kept, None, None, 0.0, false);
+        let (asked, came, attempts) = (now, now, Vec::new());
+        Self { set, body, work, class, tenant, worth, asked, came, deadline, attempts, streaming }
+    }
+
     /// Rule 2, for every further attempt and every refusal: is it harmless by what is known of the earlier
     /// ones? `to` is the server to send to; `None` asks about a refusal.
     fn may_repeat(&self, now: Millis, to: Option<&Entry>) -> bool {
@@ -329,16 +323,11 @@
         match self.class().effect {
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
-            Effect::Keyed { group, memory } => ran.all(|a| match to {
-                None => group == Group::All,
-                Some(entry) => {
-                    let known = match group {
-                        Group::All => true,
-                        Group::Zone => a.to.zone == entry.zone,
-                        Group::Cell => a.to.cell == entry.cell,
-                    };
-                    known && now - a.sent < memory
-                }
+            Effect::Keyed { group, memory } => ran.all(|a| match (group, to) {
+                (_, Some(_)) if now - a.sent >= memory => false,
+                (Group::All, _) => true,
+                (Group::Zone, to) => to.is_some_and(|to| to.zone == a.to.zone),
+                (Group::Cell, to) => to.is_some_and(|to| to.cell == a.to.cell),
             }),
         }
     }
@@ -399,11 +388,11 @@
         let most_left = f64::NEG_INFINITY;
         let class = |c: &Class| ClassStats { mean: c.aim / 4.0, most_left, ..ClassStats::default() };
         let tenant = |_| TenantStats { counted: f64::NEG_INFINITY, ..TenantStats::default() };
-        let classes = settings.classes.iter().map(class).collect();
-        let tenants = settings.tenants.iter().map(tenant).collect();
-        let retry_budget = settings.retry.most;
         Ok(Self {
             period: settings.period(),
+            classes: settings.classes.iter().map(class).collect(),
+            tenants: settings.tenants.iter().map(tenant).collect(),
+            retry_budget: settings.retry.most,
             set: Arc::new(settings),
             random: SplitMix64::seed_from_u64(seed),
             now: 0.0,
@@ -418,13 +407,10 @@
             cursor_at: None,
             held_since: None,
             shed: f64::NEG_INFINITY,
-            classes,
-            tenants,
             fleet: 1.0,
             pace: Rate::default(),
             arrivals: Rate::default(),
             times: BTreeMap::new(),
-            retry_budget,
             actions: Vec::new(),
             timer_due: f64::INFINITY,
             swept: f64::NEG_INFINITY,
@@ -447,35 +433,18 @@
             Event::Policy(settings) => self.on_policy(*settings),
             Event::Request { id, class, tenant, deadline, coming, again, work } => {
                 let body = if coming { Body::Coming } else { Body::Kept };
-                let (asked, came) = (now, now);
-                let (set, attempts) = (self.set.clone(), Vec::new());
-                let (worth, streaming) = (0.0, false);
-                let request = Request {
-                    set,
-                    body,
-                    work,
-                    class,
-                    tenant,
-                    worth,
-                    asked,
-                    came,
-                    deadline,
-                    attempts,
-                    streaming,
-                };
-                self.on_request(id, request, again);
+                let new = Request::new(self.set.clone(), now, class, deadline);
+                self.on_request(id, Request { body, tenant, work, ..new }, again);
             }
             Event::Whole { id, deadline } => self.on_whole(id, deadline),
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt),
             Event::Ended { id, attempt, server, outcome, took, finished } => {
                 let took = if took.is_finite() { took.max(0.0) } else { 0.0 };
-                self.on_returned(id, attempt, server, outcome, took);
+                self.on_returned((id, attempt), server, outcome, took);
                 self.on_ended(id, attempt, outcome, took, finished);
             }
             Event::Probed { server, outcome, .. } => self.on_probed(server, outcome),
-            Event::ClientGone(id) => {
-                self.forget(id);
-            }
+            Event::ClientGone(id) => drop(self.forget(id)),
             Event::Timer => {}
         }
         if now >= self.timer_due {
@@ -523,21 +492,14 @@
             Call::Asked(at, _) => at + self.set.rules.ask_within,
         };
         let held = if self.waiting.is_empty() { f64::INFINITY } else { self.swept + self.period };
-        let mut due = call.min(held);
-        for server in self.rotated() {
-            if let (Some(at), false) = (server.ejected, server.probing) {
-                due = due.min(at);
-            }
-            if server.turn_warmth < 1.0 {
-                due = due.min(self.chosen + self.warmth_step());
-            }
-        }
-        due
+        let probes = self.rotated().filter(|s| !s.probing).filter_map(|s| s.ejected);
+        probes.fold(call.min(held).min(self.warmer_at()), f64::min)
     }
 
-    /// How often the subset follows the warmth of its servers.
-    fn warmth_step(&self) -> Millis {
-        self.set.rules.warm_within / WARMTH_STEPS
+    /// When the subset next follows the warmth of its servers.
+    fn warmer_at(&self) -> Millis {
+        let step = self.set.rules.warm_within / WARMTH_STEPS;
+        self.rotated().find(|s| s.turn_warmth < 1.0).map_or(f64::INFINITY, |_| self.chosen + step)
     }
 
     /// Requests that are here keep to the settings that they came under.
@@ -575,9 +537,7 @@
             }
         }
         for mut entry in entries {
-            if !entry.weight.is_finite() || entry.weight <= 0.0 {
-                entry.weight = 1.0;
-            }
+            entry.weight = Some(entry.weight).filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0);
             // Live weights are load in disguise, late and alike for all nodes. The most that a server was
             // ever listed at, when it held least, is its size.
             let factor = self.set.factor(entry.server);
@@ -591,7 +551,7 @@
             if entry.started != server.entry.started {
                 server.restarted(None);
             }
-            if !server.listed_up() {
+            if server.entry.state != Listed::Up {
                 server.turn = f64::NAN;
             }
             server.entry = entry;
@@ -613,7 +573,8 @@
 
     /// Follows a change of who is up and not taken out.
     fn regroup(&mut self) {
-        let members: Vec<_> = self.up().map(|s| s.entry.server).collect();
+        let up = |(id, s): &(&ServerId, &Server)| s.entry.state == Listed::Up && !self.disabled.contains(id);
+        let members: Vec<_> = self.servers.iter().filter(up).map(|(id, _)| *id).collect();
         let mut known = self.order.clone();
         known.sort_unstable();
         if members != known {
@@ -629,17 +590,13 @@
     fn on_list_failed(&mut self) {
         if self.set.discovery == Discovery::Asked {
             let failures = if let Call::Asked(_, failures) = self.call { failures + 1 } else { 1 };
-            // Backoff with jitter, so that nodes cut off together do not come back together; well within the
-            // time after which a node that has not asked counts as told.
+            // Jittered, as nodes cut off together should not come back together; well within the time after
+            // which a node that has not asked counts as told.
             let span = (self.set.rules.ask_within / 40.0) * f64::from(1u32 << failures.min(4));
             self.call = Call::AskAt(self.now + span * (0.5 + 0.5 * chance(&mut self.random)), failures);
         }
     }
 
-    fn up(&self) -> impl Iterator<Item = &Server> + Clone {
-        self.servers.values().filter(|s| s.listed_up() && !self.disabled.contains(&s.entry.server))
-    }
-
     /// The servers of the subset.
     fn rotated(&self) -> impl Iterator<Item = &Server> + Clone {
         self.subset.iter().filter_map(|id| self.servers.get(id))
@@ -659,9 +616,8 @@
         (self.set.nodes * self.subset_size(up)) as f64 / up as f64
     }
 
-    /// How many times more nodes share a server than are wanted, where a subset can be no smaller. Rests and
-    /// least limits of all sharing nodes add up: kept per node, the looks of a crowd of nodes alone would
-    /// keep a slow server from the rest that it needs.
+    /// How many times more nodes share a server than are wanted, where a subset can be no smaller. Were rests
+    /// and least limits kept per node, the looks of a crowd alone would keep a slow server from its rest.
     fn crowd(&self) -> f64 {
         (self.sharing() / NODES_PER_SERVER as f64).max(1.0)
     }
@@ -669,11 +625,7 @@
     /// The concurrency limit that a server begins with.
     fn first_limit(&self) -> f64 {
         let sharing = self.sharing().max(1.0);
-        if sharing < LIMITS.0 {
-            LIMITS.0 / sharing
-        } else {
-            SPACED / sharing
-        }
+        (if sharing < LIMITS.0 { LIMITS.0 } else { SPACED }) / sharing
     }
 
     /// The least that a server's limit can fall to.
@@ -682,11 +634,10 @@
     }
 
     /// The order in which this node prefers the sorted `members`. All nodes fill the same table (as Maglev
-    /// does: each server in turn takes its next free place by an order of its own), so that each server has
-    /// as many places as any other and keeps most of them when the list changes. Each node reads the table
-    /// from a place of its own; first parts of the orders are thus an even cover of the fleet.
+    /// does: each server in turn takes its next free place by an order of its own), of which each server has
+    /// an even part and keeps most when the list changes. Each node reads it from a place of its own; first
+    /// parts of the orders are thus an even cover of the fleet.
     fn preference(&self, members: &[ServerId]) -> Vec<ServerId> {
-        const FREE: u32 = u32::MAX;
         if self.subset_size(members.len()) == members.len() {
             return members.to_vec();
         }
@@ -694,7 +645,7 @@
         // Ids may be near each other: a walk begins at the mixed id, which is what a step onto the id gives.
         let mixed = |id: &ServerId| SplitMix64::seed_from_u64(id.0.wrapping_sub(GOLDEN)).next_u64();
         let mut walks: Vec<_> = members.iter().map(|id| SplitMix64::seed_from_u64(mixed(id))).collect();
-        let mut table = vec![FREE; size];
+        let mut table = vec![None; size];
         for filled in 0..size {
             let member = filled % members.len();
             let walk = &mut walks[member];
@@ -704,16 +655,16 @@
                 let place = walk.next_u64() as usize % size;
                 // Not twice in what one node reads first, but where nothing else is left.
                 let block = place - place % SUBSET_LEAST;
-                let twice = table[block..block + SUBSET_LEAST].contains(&(member as u32));
-                if table[place] == FREE && (!twice || tries > size) {
+                let twice = table[block..block + SUBSET_LEAST].contains(&Some(member));
+                if table[place].is_none() && (!twice || tries > size) {
                     break place;
                 }
             };
-            table[free] = member as u32;
+            table[free] = Some(member);
         }
         let own = self.set.number * size / self.set.nodes;
         let mut seen = vec![false; members.len()];
-        let places = (own..size).chain(0..own).map(|place| table[place] as usize);
+        let places = (own..size).chain(0..own).filter_map(|place| table[place]);
         places.filter(|m| !std::mem::replace(&mut seen[*m], true)).map(|m| members[m]).collect()
     }
 
@@ -726,9 +677,7 @@
             if warm >= wanted {
                 break;
             }
-            if server.ejected.is_none() {
-                warm += server.warmth(self.now, &self.set.rules);
-            }
+            warm += if server.ejected.is_none() { server.warmth(self.now, &self.set.rules) } else { 0.0 };
             subset.push(server.entry.server);
         }
         subset.sort_unstable();
@@ -743,9 +692,8 @@
 
     /// Gives servers that are new to the rotation their place in it. A server of size w has its turns at
     /// (p + k) / w for k = 0, 1, ..., p being its place after the cursor, from 0 to 1: with equal sizes that
-    /// is the plain cyclic order, with unequal ones an even interleaving. The others keep their turns: were
-    /// all nodes to begin again at each change of the list, the servers after their offsets would get
-    /// everything while the list changes faster than a node gets round.
+    /// is the plain cyclic order, with unequal ones an even interleaving. The others keep their turns: to
+    /// begin again at each change of the list would favour the servers after the nodes' offsets.
     fn place_newcomers(&mut self) {
         let count = self.subset.len().max(1);
         let cursor_at = self.cursor_at.map(|at| self.subset.partition_point(|id| *id <= at));
@@ -814,10 +762,9 @@
     }
 
     /// Rule 4: what all nodes send to a cold server in one window must stay below a multiple of what it can
-    /// do by now. What a warm server of its size is seen to answer is the measure, and each node spaces its
-    /// sends by its own traffic's part: a least of one send a window for each node would by the number of
-    /// nodes alone be more than a cold server can take. Before the first send a random part of the space is
-    /// waited, or all nodes would send at once when they hear of it.
+    /// do by now. What a warm server of its size is seen to answer is the measure. Each node spaces its sends
+    /// by its own traffic's part, as one send a window from each of many nodes would be too much; before the
+    /// first it waits a random part of the space, or all would send at once when they hear of it.
     fn within_slow_start(&self, server: &Server) -> bool {
         let rules = &self.set.rules;
         let warmth = server.warmth(self.now, rules);
@@ -834,16 +781,11 @@
         let up = self.rotated();
         let ejected = up.clone().filter(|s| s.ejected.is_some()).count() + 1;
         let too_many = ejected as f64 > self.set.ejection.at_most * up.count() as f64;
-        let (now, base, most) =
-            (self.now, 4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0);
-        if let Some(server) = self.servers.get_mut(&id) {
-            if server.ejected.is_none() && too_many && !sure {
-                return;
-            }
-            server.ejections += 1;
-            let span = (base * f64::from(1u32 << server.ejections.min(10))).min(most);
-            server.ejected = Some(now + span);
-        }
+        let may = |s: &&mut Server| sure || !too_many || s.ejected.is_some();
+        let Some(server) = self.servers.get_mut(&id).filter(may) else { return };
+        server.ejections += 1;
+        let span = 4.0 * self.set.limits.connect_timeout * f64::from(1u32 << server.ejections.min(10));
+        server.ejected = Some(self.now + span.min(self.set.rules.ask_within / 4.0));
         self.choose_subset();
     }
 
@@ -855,8 +797,8 @@
             return;
         }
         if outcome == Outcome::Done {
-            // Only a process that was down is cold. To take one that was merely slow for cold would put the
-            // whole fleet on cold budgets in a jam that ejects each server once.
+            // Only a process that was down is cold: in a jam that ejects each server once, the whole fleet
+            // would else be on cold budgets.
             if server.down && server.returned.is_none() {
                 (server.returned, server.last_sent, server.stagger) = (Some(now), now, stagger);
             }
@@ -904,8 +846,7 @@
 
     fn on_request(&mut self, id: RequestId, mut request: Request, again: bool) {
         if self.requests.contains_key(&id) {
-            // An id never comes twice. To answer the repeat would be to answer the first, which is still
-            // owed, and to send for it afterwards.
+            // An id never comes twice; the first is still owed, and an answer would be to both.
             return;
         }
         if request.class >= self.set.classes.len() {
@@ -922,30 +863,27 @@
         let left = request.deadline - self.now;
         request.asked -= self.classes[request.class].age(request.class(), left, again);
         self.tally(&request, |care| &mut care.asked);
-        // An attempt is given up when it is of no more use. So what can't be in time, as it is a late repeat
-        // or more work than there is time for, is not begun: it would only take the work of others that can.
-        // While none is refused for want of room, a longer shot is taken the more the fleet has in reserve.
+        // What can't be in time, as it is a late repeat or more work than there is time for, is not begun: it
+        // would only take the work of others that can. While none is refused for want of room, a longer shot
+        // is taken the more the fleet has in reserve.
         let room = self.now - self.shed > self.set.rules.fall_window;
         let reserve = if room { self.fleet.max(1.0) } else { 1.0 };
         let left = (request.worth_until() - self.now) * reserve;
         let hopeless = (again || self.extra(&request) > 0.0) && left < self.usual(&request);
         self.requests.insert(id, request);
+        self.waiting.push(id);
         if hopeless {
             self.conclude(id);
-        } else {
-            self.waiting.push(id);
         }
         self.serve_waiting();
     }
 
     /// The time of a request that was coming counts from its last byte. Only then has its server work of it.
     fn on_whole(&mut self, id: RequestId, deadline: Millis) {
-        let coming = self.requests.get_mut(&id).filter(|r| r.body == Body::Coming);
-        let Some(request) = coming else { return };
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.body == Body::Coming) else { return };
         let age = self.classes[request.class].age(request.class(), deadline - self.now, false);
-        let asked = self.now - age;
-        (request.body, request.asked, request.came, request.deadline) =
-            (Body::Passed, asked, self.now, deadline);
+        (request.body, request.came, request.deadline) = (Body::Passed, self.now, deadline);
+        request.asked = self.now - age;
         for (attempt, a) in request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
             if let Some(server) = self.servers.get_mut(&a.to.server) {
                 server.out.push((id, attempt));
@@ -999,13 +937,11 @@
     }
 
     fn send(&mut self, id: RequestId, to: ServerId) {
-        let (Some(request), Some(server)) = (self.requests.get(&id), self.servers.get(&to)) else { return };
-        let (timeout, rest) = (request.worth_until() - self.now, self.rest(server));
-        let allowed = server.allowed(self.fleet, self.least_limit());
-        let (Some(request), Some(server)) = (self.requests.get_mut(&id), self.servers.get_mut(&to)) else {
-            return;
-        };
-        let alone = server.out.is_empty();
+        let Some(rest) = self.servers.get(&to).map(|s| self.rest(s)) else { return };
+        let (least, Some(request)) = (self.least_limit(), self.requests.get_mut(&id)) else { return };
+        let Some(server) = self.servers.get_mut(&to) else { return };
+        let (alone, allowed) = (server.out.is_empty(), server.allowed(self.fleet, least));
+        let timeout = request.worth_until() - self.now;
         if request.body == Body::Kept {
             server.out.push((id, request.attempts.len()));
         }
@@ -1039,12 +975,12 @@
     }
 
     /// An attempt is no longer out at its server.
-    fn on_returned(&mut self, id: RequestId, attempt: usize, at: ServerId, outcome: Outcome, took: Millis) {
+    fn on_returned(&mut self, of: (RequestId, usize), at: ServerId, outcome: Outcome, took: Millis) {
         if let Some(server) = self.servers.get_mut(&at) {
-            server.out.retain(|o| *o != (id, attempt));
+            server.out.retain(|o| *o != of);
         }
         // One that had little time says little of its server.
-        let aim = self.requests.get(&id).map_or(0.0, |r| r.class().aim);
+        let aim = self.requests.get(&of.0).map_or(0.0, |r| r.class().aim);
         if outcome != Outcome::TimedOut || CUT * took >= aim {
             self.detect_outlier(at, outcome, took);
         }
@@ -1057,15 +993,13 @@
         let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
         let (class, work, ended) = (request.class, request.work, ended.clone());
-        let (open, part) = (request.pending() || request.streaming, request.part(outcome, took));
-        if let Some(part) = part {
+        let open = request.pending() || request.streaming;
+        if let Some(part) = request.part(outcome, took) {
             self.learn(class, work, &ended, took, part);
         }
         if finished {
-            if let Some(request) = self.forget(id) {
-                if self.now - request.asked <= request.class().aim {
-                    self.tally(&request, |care| &mut care.served);
-                }
+            if let Some(served) = self.forget(id).filter(|r| self.now - r.asked <= r.class().aim) {
+                self.tally(&served, |care| &mut care.served);
             }
         } else if !open {
             self.further(id, outcome);
@@ -1075,17 +1009,16 @@
 
     /// What the end of an attempt says of its server's pace, for the limit, the share and the usual times.
     fn learn(&mut self, class: usize, work: Option<Millis>, of: &Attempt, took: Millis, part: f64) {
-        let (id, at_limit, alone) = (of.to.server, of.at_limit, of.alone);
-        let (now, rules, done) = (self.now, &self.set.rules, of.outcome == Some(Outcome::Done));
+        let (id, now, rules, done) =
+            (of.to.server, self.now, &self.set.rules, of.outcome == Some(Outcome::Done));
         let (first, least_limit) = (self.first_limit(), self.least_limit());
         let warm = |s: &Server| s.warmth(now, rules) >= 1.0;
         if done && self.subset.binary_search(&id).is_ok() && self.servers.get(&id).is_some_and(warm) {
             // Measured on warm servers alone: measured on cold ones too, a cold budget would feed on itself.
-            // The answer of one that has left the rotation is of a weight that is no longer in it.
+            // The weight of one that has left the rotation is no longer in it.
             let size: f64 = self.rotated().filter(|s| warm(s)).map(|s| s.size).sum();
             self.pace.add(now, rules.fall_window, 1.0 / size.max(f64::MIN_POSITIVE));
         }
-        let count = self.set.classes.len();
         let pace = &mut self.classes[class];
         if done {
             pace.seen = pace.seen.saturating_add(1);
@@ -1094,8 +1027,8 @@
             // A guess is believed no further than the time that it took.
             pace.work += work.map_or(0.0, |work| (work.clamp(0.0, took) - pace.work) * part);
         }
-        // A fleet that slows down at once is seen by all its answers long before each limit has heard enough
-        // of its own. Where half as many are late as come well in time, there is too much out.
+        // All answers tell that the fleet slows down long before each limit has heard enough of its own.
+        // Where half as many are late as come well in time, there is too much out.
         let step = LIMIT_GAIN * (LATE - PACE_TARGET) / (self.subset.len().max(1) as f64).sqrt();
         if part >= 1.0 {
             self.fleet = (self.fleet * (-2.0 * step).exp()).max(LIMITS.1);
@@ -1104,12 +1037,12 @@
         }
         let Some(s) = self.servers.get_mut(&id) else { return };
         if of.outcome != Some(Outcome::Full) {
-            // To be turned away takes no time: a rest that went by it would end at once, and many nodes that
-            // rest so keep a full server full.
+            // To be turned away takes no time: rests that went by it would keep a full server full.
             s.last_took = took;
         }
-        if done && alone {
-            let time = &mut self.times.entry(s.entry.kind).or_insert_with(|| vec![0.0; count])[class];
+        if done && of.alone {
+            let classes = self.set.classes.len();
+            let time = &mut self.times.entry(s.entry.kind).or_insert_with(|| vec![0.0; classes])[class];
             *time += (took - *time) * if *time > 0.0 { TIME_GAIN } else { 1.0 };
         }
         // Sizes that the list does not tell: a server whose answers come later than the fleet's beyond a
@@ -1118,15 +1051,15 @@
         pace.excess += (excess - pace.excess) * SHARE_GAIN.0;
         s.share = s.share.powf(1.0 - SHARE_GAIN.1) * (SHARE_GAIN.0 * (pace.excess - excess)).exp();
         let unused = s.allowed(self.fleet, least_limit) > 2.0 * (s.out.len() as f64 + 1.0);
-        if unused || (s.limit < 1.0 && !at_limit) {
+        if unused || (s.limit < 1.0 && !of.at_limit) {
             // A limit that was never reached protects nobody when the fleet slows down at once.
             s.limit *= 1.0 - LIMIT_FADE;
         }
-        if s.limit < first.min(1.0) && part <= PACE_TARGET && at_limit {
-            // Answers are rare below one: without a quick way back a server that was slow for seconds would
-            // stay out for minutes. Only to where limits begin: from there on many nodes would crowd it.
+        if s.limit < first.min(1.0) && part <= PACE_TARGET && of.at_limit {
+            // Answers are rare below one: a server that was slow for seconds would stay out for minutes. Only
+            // to where limits begin: from there on many nodes would crowd it.
             s.limit *= (LIMIT_GAIN * (LATE - PACE_TARGET)).exp();
-        } else if at_limit {
+        } else if of.at_limit {
             // One attempt at a time that still comes in time is not too much, even where the whole fleet is
             // so slow that it misses the target.
             let least = if part < 1.0 { s.limit.min(1.0) } else { least_limit };
@@ -1141,9 +1074,7 @@
         let free = outcome.never_ran();
         let may = self.rotated().any(|s| request.may_repeat(self.now, Some(&s.entry)));
         if time && may && (free || self.retry_budget >= 1.0) {
-            if !free {
-                self.retry_budget -= 1.0;
-            }
+            self.retry_budget -= if free { 0.0 } else { 1.0 };
             self.waiting.push(id);
         } else {
             self.conclude(id);
@@ -1165,9 +1096,7 @@
     /// Drops a request that is over; attempts that are still out are of no use any more.
     fn forget(&mut self, id: RequestId) -> Option<Request> {
         let request = self.requests.remove(&id)?;
-        if !request.streaming {
-            self.actions.extend(request.cancelled(id));
-        }
+        self.actions.extend(request.cancelled(id).filter(|_| !request.streaming));
         Some(request)
     }
 
@@ -1190,15 +1119,12 @@
             };
             if self.now <= end.min(request.deadline - last) {
                 held.push(id);
-            } else {
-                if request.attempts.is_empty() {
-                    self.shed = self.now;
-                }
-                self.conclude(id);
+                continue;
             }
+            self.shed = if request.attempts.is_empty() { self.now } else { self.shed };
+            self.conclude(id);
         }
-        // No turn is taken but for a request that may go: a held one that no ready server may have would else
-        // use up the turns of all the others.
+        // A held request that no ready server may have would else use up the turns of all the others.
         while let Some(server) = self.next_turn(|b, s| b.ready(s) && held.iter().any(|id| b.may_go(*id, s))) {
             let Some(place) = self.best_held(&held, server) else { break };
             self.send(held.swap_remove(place), server);
@@ -1251,22 +1177,16 @@
             Call::Asked(at, _) if now - at >= self.set.rules.ask_within => self.on_list_failed(),
             _ => {}
         }
-        let due: Vec<ServerId> = self
-            .rotated()
-            .filter(|s| !s.probing && s.ejected.is_some_and(|at| now >= at))
-            .map(|s| s.entry.server)
-            .collect();
-        for id in due {
-            if self.set.limits.probes {
-                self.actions.push(Action::Probe(id));
-                if let Some(server) = self.servers.get_mut(&id) {
-                    server.probing = true;
-                }
-            } else {
+        let due = self.rotated().filter(|s| !s.probing && s.ejected.is_some_and(|at| now >= at));
+        for id in due.map(|s| s.entry.server).collect::<Vec<_>>() {
+            if !self.set.limits.probes {
                 self.on_probed(id, Outcome::Done);
+            } else if let Some(server) = self.servers.get_mut(&id) {
+                server.probing = true;
+                self.actions.push(Action::Probe(id));
             }
         }
-        if now >= self.chosen + self.warmth_step() && self.rotated().any(|s| s.turn_warmth < 1.0) {
+        if now >= self.warmer_at() {
             self.choose_subset();
         }
         self.serve_waiting();
