Cut single nodes and replicas from each other in process tests

Need: the hard cases of a change of policy that lie between single nodes and replicas were shown by unit and model tests alone: one-way cuts, a leader that was deposed and does not know it, an upgrade between staged and active, messages that come late or twice.

A group of the fixture can have a link of its own from each node to each replica and between each two replicas; a front at the address that replicas know of each other tells by the first request who has connected. The lab had such a front of its own: it is one piece now, in crates/relay.

--- a/crates/lab/src/live/links.rs
+++ b/crates/lab/src/live/links.rs
@@ -8,27 +8,15 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::Duration;
 
-use relay::{Fault, Flow, Relay};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::runtime::Handle;
-use tokio::sync::{oneshot, Semaphore};
+use relay::{Fault, Flow, Front, Relay, RelayError};
+use tokio::sync::oneshot;
 
 use super::address::Addresses;
 use super::LabError;
 use crate::plan::Way;
 
-/// Connections at a time at each replica's address.
-const CONNECTIONS_MOST: usize = 1024;
-/// The bytes within which a first request tells who it is from.
-const TOLD_WITHIN: usize = 4096;
-/// How long that may take, and between two looks.
-const TOLD_IN: Duration = Duration::from_secs(5);
-const LOOK: Duration = Duration::from_millis(1);
-
 /// Who is at a link's end.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Party {
@@ -44,6 +32,7 @@
 /// All links of a group.
 pub struct Links {
     relays: BTreeMap<Link, Relay>,
+    fronts: Vec<Front>,
     /// What each fault does to which relay.
     cuts: RefCell<BTreeMap<usize, Vec<(Link, Fault)>>>,
     stop: Option<oneshot::Sender<()>>,
@@ -65,6 +54,7 @@
         // From here on whatever is dropped ends the thread.
         let mut links = Self {
             relays: BTreeMap::new(),
+            fronts: Vec::new(),
             cuts: RefCell::default(),
             stop: Some(stop),
             thread: Some(thread),
@@ -75,12 +65,12 @@
             if party == Party::Replica(replica) {
                 continue;
             }
-            let relay = Relay::start_on(at(addresses, party, replica), addresses.replica(replica))
-                .map_err(|e| LabError::Listen { at: e.address, source: e.source })?;
+            let relay =
+                Relay::start_on(at(addresses, party, replica), addresses.replica(replica)).map_err(listen)?;
             links.relays.insert((party, replica), relay);
         }
         for replica in 0..replicas {
-            front(&handle, addresses, replica, nodes, replicas)?;
+            links.fronts.push(front(addresses, replica, nodes, replicas)?);
         }
         Ok(links)
     }
@@ -129,6 +119,7 @@
 impl Drop for Links {
     fn drop(&mut self) {
         self.relays.clear();
+        self.fronts.clear();
         drop(self.stop.take());
         if let Some(thread) = self.thread.take() {
             // It ends by itself; had it panicked, its relays are gone all the same.
@@ -146,64 +137,17 @@
 }
 
 /// Listens at a replica's address for whoever has it from another replica.
-fn front(
-    handle: &Handle,
-    addresses: Addresses,
-    replica: usize,
-    nodes: usize,
-    replicas: usize,
-) -> Result<(), LabError> {
-    let listen = addresses.replica_of_group(replica);
-    let fail = |source| LabError::Listen { at: listen, source };
-    let listener = std::net::TcpListener::bind(listen).map_err(fail)?;
-    listener.set_nonblocking(true).map_err(fail)?;
-    let listener = TcpListener::from_std(listener).map_err(fail)?;
-    let room = Arc::new(Semaphore::new(CONNECTIONS_MOST));
-    handle.spawn(async move {
-        loop {
-            let Ok(room) = room.clone().acquire_owned().await else { return };
-            match listener.accept().await {
-                Ok((stream, _)) => drop(tokio::spawn(async move {
-                    let there = |party: &Party| match party {
-                        Party::Node(n) => *n < nodes,
-                        Party::Replica(r) => *r < replicas && *r != replica,
-                    };
-                    if let Some(party) = who(&stream).await.filter(there) {
-                        pass_on(stream, at(addresses, party, replica)).await;
-                    }
-                    drop(room);
-                })),
-                Err(_) => tokio::time::sleep(TOLD_IN).await,
-            }
-        }
-    });
-    Ok(())
+fn front(addresses: Addresses, replica: usize, nodes: usize, replicas: usize) -> Result<Front, LabError> {
+    let there = move |party: &Party| match party {
+        Party::Node(n) => *n < nodes,
+        Party::Replica(r) => *r < replicas && *r != replica,
+    };
+    let route = move |request: &str| Some(at(addresses, party(request).filter(there)?, replica));
+    Front::start(addresses.replica_of_group(replica), route).map_err(listen)
 }
 
-async fn pass_on(mut from: TcpStream, to: SocketAddr) {
-    let Ok(mut to) = TcpStream::connect(to).await else { return };
-    if from.set_nodelay(true).is_ok() && to.set_nodelay(true).is_ok() {
-        // Whatever ends one side ends the other.
-        let _ = tokio::io::copy_bidirectional(&mut from, &mut to).await;
-    }
-}
-
-/// Who has connected, by the first request; `None` where it does not tell.
-async fn who(stream: &TcpStream) -> Option<Party> {
-    let mut seen = [0; TOLD_WITHIN];
-    let told = async {
-        loop {
-            let count = stream.peek(&mut seen).await.ok().filter(|count| *count > 0)?;
-            if let Some(party) = party(&String::from_utf8_lossy(&seen[..count])) {
-                return Some(party);
-            }
-            if count == TOLD_WITHIN {
-                return None;
-            }
-            tokio::time::sleep(LOOK).await;
-        }
-    };
-    tokio::time::timeout(TOLD_IN, told).await.ok()?
+fn listen(error: RelayError) -> LabError {
+    LabError::Listen { at: error.address, source: error.source }
 }
 
 /// Who a request is from, by the name in its body: a node's process, or the replica that sends a letter.
@@ -220,9 +164,15 @@
 
 #[cfg(test)]
 mod tests {
+    use std::time::Duration;
+
     use super::*;
     use crate::live::address::Block;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::{TcpListener, TcpStream};
+
+    /// Between two tries.
+    const LOOK: Duration = Duration::from_millis(1);
 
     #[test]
     fn a_request_tells_who_it_is_from_once_the_whole_number_is_there() {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 //! Rejected: rules in the kernel, which need rights and are shared with all else on the machine; and links inside the
 //! lab that act on whole messages, which cannot break one in its middle nor accept what is then lost.
 
+mod front;
 mod link;
 mod pump;
 
@@ -21,6 +22,8 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
+pub use front::Front;
+
 /// The most connections at a time; further ones wait.
 pub const CONNECTIONS_MOST: usize = 1024;
 /// The most bytes that are held a connection and way.
