Have the fleet's judge see epochs that were aborted, and see it fail under mutants

The judge took each number up to the newest commit for a committed epoch, so that a node which admits under an aborted change was not seen. It takes what the leader's history says now, and one test calls its change off.

--- a/crates/stoneshift/tests/fleet.rs
+++ b/crates/stoneshift/tests/fleet.rs
@@ -18,7 +18,6 @@
     nodes: Vec<Node>,
     clients: Vec<Client>,
     configs: Vec<Value>,
-    committed: BTreeSet<u64>,
     /// What processes that are gone have taken.
     ended: Vec<Vec<Taken>>,
     _registry: Registry,
@@ -44,22 +43,27 @@
             .collect();
         let nodes: Vec<Node> = configs.iter().map(Node::ready).collect();
         let clients = nodes.iter().map(|node| Client::of(node.address)).collect();
-        let (calls, committed) = (group.calls(), BTreeSet::from([0]));
-        let ended = Vec::new();
-        Self { group, calls, nodes, clients, configs, committed, ended, _registry: registry, _server: server }
+        let (calls, ended) = (group.calls(), Vec::new());
+        Self { group, calls, nodes, clients, configs, ended, _registry: registry, _server: server }
     }
 
     /// Makes changes until one is committed.
-    fn commit(&mut self) -> u64 {
-        let epoch = until("a change is committed", || {
+    fn commit(&self) -> u64 {
+        until("a change is committed", || {
             let leader = self.calls.leader()?;
             let base = self.calls.policy(leader)?["epoch"].as_u64()?;
             let answer =
                 self.calls.propose(leader, base, &json!({"Limits": {"AttemptsCap": 1 + base % 3}}))?;
             (answer.status == 200).then(|| answer.body["epoch"].as_u64()).flatten()
-        });
-        self.committed.extend(0..=epoch);
-        epoch
+        })
+    }
+
+    /// The epochs that changes have become, as the replica that leads has them; an aborted one's number is no epoch.
+    fn committed(&self) -> BTreeSet<u64> {
+        let policy = until("the leader tells what has ended", || self.calls.policy(self.calls.leader()?));
+        let ended = policy["ended"].as_array().expect("a list").iter();
+        let committed = ended.filter(|ended| ended["aborted"].is_null());
+        committed.map(|ended| ended["epoch"].as_u64().expect("an epoch")).chain([0]).collect()
     }
 
     fn until_all_serve_by(&self, epoch: u64) {
@@ -100,14 +104,11 @@
 
     /// Ends the load and judges it.
     fn judge(self) {
+        let committed = self.committed();
         let mut taken: Vec<Vec<Taken>> = self.clients.into_iter().map(Client::end).collect();
         taken.extend(self.ended);
-        println!(
-            "{:?} taken, {:?} committed",
-            taken.iter().map(Vec::len).collect::<Vec<_>>(),
-            self.committed
-        );
-        judge(&taken, &self.committed, Terms::PATIENT.promise);
+        println!("{:?} taken, {committed:?} committed", taken.iter().map(Vec::len).collect::<Vec<_>>());
+        judge(&taken, &committed, Terms::PATIENT.promise);
     }
 }
 
@@ -150,8 +151,10 @@
 #[test]
 fn a_node_that_is_killed_after_it_staged_comes_back_under_what_is_agreed() {
     let mut fleet = Fleet::start();
-    fleet.stage();
+    let leader = fleet.stage();
     fleet.replace(1);
+    // One node has not staged: it is aborted, by the operator or before he asks. Nobody may take anything under it.
+    fleet.calls.ask(leader, "DELETE /v1/policy/change");
     fleet.nodes[2].signal("-CONT");
     let epoch = fleet.commit();
     fleet.until_all_serve_by(epoch);
--- a/crates/stoneshift/tests/load/mod.rs
+++ b/crates/stoneshift/tests/load/mod.rs
@@ -78,6 +78,10 @@
 
 /// The rules: a node's epochs only grow, only committed ones are met, and none takes anything under an epoch later
 /// than a promise lasts after another has taken something under the next.
+///
+/// Seen to fail, each under a throw-away node: one that heeds a commit 8 s late and goes on in doubt (taken under an
+/// epoch too late), one that takes what is staged for active (an epoch went back), and one that takes an aborted change
+/// for committed (what was met).
 pub fn judge(fleet: &[Vec<Taken>], committed: &BTreeSet<u64>, promise: Duration) {
     for node in fleet {
         assert!(node.windows(2).all(|pair| pair[0].epoch <= pair[1].epoch), "an epoch went back");
