Close a server's door in the lab at once, so that it can be opened again at once

A door's tasks hold its listener until they are run once more. The door stops to listen as it is dropped.

--- a/crates/lab/src/live/servers.rs
+++ b/crates/lab/src/live/servers.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -54,6 +54,9 @@
 
 impl Drop for Door {
     fn drop(&mut self) {
+        // The tasks hold the listener until they are run once more; nobody may come in by then, and where the lab is
+        // late the server may have to listen here again.
+        let _ = SockRef::from(&*self.listener).shutdown(Shutdown::Both);
         for task in [self.accepting.take(), self.filler.take()].into_iter().flatten() {
             task.abort();
         }
