Let no decision read a wall clock that may be stepped

A server's date of birth was taken as it is: with a clock an hour ahead, or a node's clock an hour behind at its start, a server stayed cold for an hour, as its age was held at 0; a restart dated an hour back was warm at once. A server that operators or the policy gave back was dated by the wall clock of that moment against the node's start, with the same hour after a step. Both are now bounded: a date that can't be counts as the moment when it is heard of, what the node does itself goes by its monotonic clock, and the time of a file that two processes share counts as an age.

--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -410,6 +410,10 @@
     // ---- The play ----
 
     /// From the first listener to the last answer; whether it was broken off.
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "the list that nodes are told has dates, counted on from one look"
+    )]
     async fn play(self: Rc<Self>, options: &Options<'_>) -> Result<bool, LabError> {
         for server in 0..self.world().server_count() {
             for zone in 0..self.world().draw().zones.len() {
--- a/src/net/bans.rs
+++ b/src/net/bans.rs
@@ -24,8 +24,8 @@
 pub enum Change {
     /// It is out.
     Out,
-    /// It came back at that time.
-    Back(SystemTime),
+    /// It came back so long ago, as far as the clock tells.
+    Back(Duration),
 }
 
 /// What the folder can't do.
@@ -150,11 +150,11 @@
         let news =
             |(name, at): &(&String, &SystemTime)| !out.contains(*name) && self.back.get(*name) != Some(*at);
         for (name, at) in back.iter().filter(news) {
-            changes.push((name.clone(), Change::Back(*at)));
+            changes.push((name.clone(), Change::Back(ago(*at))));
         }
         for name in self.out.iter().filter(|n| !out.contains(*n) && !self.unkept.contains(*n)) {
             if !back.contains_key(name) {
-                changes.push((name.clone(), Change::Back(SystemTime::now())));
+                changes.push((name.clone(), Change::Back(Duration::ZERO)));
             }
         }
         self.out = out.union(&self.unkept).cloned().collect();
@@ -179,7 +179,7 @@
             } else if let Some(name) = file.strip_prefix(BACK).and_then(unhex) {
                 // Removed by the other process meanwhile: no news.
                 let Ok(at) = entry.metadata().and_then(|m| m.modified()) else { continue };
-                if at.elapsed().is_ok_and(|age| age > self.cold) {
+                if ago(at) > self.cold {
                     let _ = fs::remove_file(entry.path());
                 } else {
                     back.insert(name, at);
@@ -195,6 +195,10 @@
     }
 
     /// Makes a server's file, with the present time.
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "a file's time; see `ago` for what a step of the clock does"
+    )]
     fn make(&self, kind: &str, name: &str) -> io::Result<()> {
         let path = self.path(kind, name)?;
         if let Some(folder) = path.parent() {
@@ -211,6 +215,13 @@
     }
 }
 
+/// How long ago a file was made, by the clock that two processes share. Where that was put back meanwhile, the server
+/// counts as back just now and no later; where it was put forward, as warm too soon, which its limit then learns.
+#[expect(clippy::disallowed_methods, reason = "one process's monotonic time means nothing to another")]
+fn ago(at: SystemTime) -> Duration {
+    at.elapsed().unwrap_or_default()
+}
+
 /// A name as part of a file's: never a path, whatever it holds.
 fn hex(name: &str) -> String {
     name.bytes().map(|b| format!("{b:02x}")).collect()
@@ -287,6 +298,22 @@
         assert!(bans(&folder, Duration::from_millis(1)).changes().is_empty(), "long ago");
     }
 
+    /// A clock that was put back or forward by an hour after a return: never longer cold than after one just now.
+    #[test]
+    fn a_stepped_clock_keeps_no_server_cold() {
+        let folder = folder("stepped");
+        let hour = Duration::from_secs(3600);
+        let mut old = bans(&folder, COLD);
+        old.take_out("s1");
+        assert!(old.give_back("s1").expect("removed"));
+        let file = File::options().write(true).open(old.path(BACK, "s1").expect("a path")).expect("the file");
+        let made = file.metadata().and_then(|meta| meta.modified()).expect("its time");
+        file.set_modified(made + hour).expect("set");
+        assert_eq!(bans(&folder, COLD).changes(), [("s1".to_string(), Change::Back(Duration::ZERO))]);
+        file.set_modified(made - hour).expect("set");
+        assert_eq!(bans(&folder, COLD).changes(), []);
+    }
+
     /// What can't be kept holds all the same: no folder, and a name that no file can have.
     #[test]
     fn a_ban_that_can_not_be_kept_holds() {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -76,6 +76,11 @@
 }
 
 impl Clock {
+    /// The one look at the wall clock: dates of other machines are taken as they are by it, within [`started`]'s bounds.
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "paired with monotonic time once, so that no step moves it"
+    )]
     fn new() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Self { start: Instant::now(), unix_start: unix.as_secs_f64() * 1000.0 }
@@ -90,13 +95,21 @@
         instant.saturating_duration_since(self.start).as_secs_f64() * 1000.0
     }
 
-    /// Unix time in the module's; the same offset for the node's whole life, as the module takes another
-    /// start time for a restart.
-    fn at_unix(&self, unix_ms: Millis) -> Option<Millis> {
-        (unix_ms > 0.0).then_some(unix_ms - self.unix_start)
+    /// That long ago; perhaps before the node's start.
+    fn ago(&self, span: Duration) -> Millis {
+        (self.start.elapsed().as_secs_f64() - span.as_secs_f64()) * 1000.0
     }
 }
 
+/// When a server has started by the module's time, `None` for long ago: `born` is the date that the list has by the same
+/// offset, `before` what was taken of it at its last start. A date that can't be, as its clock or this node's was
+/// stepped, counts as the moment when it is heard of: no server stays cold for longer than after a start just then, and
+/// one that was seen to start anew is not warm at once.
+fn started(born: Option<Millis>, before: Option<Option<Millis>>, now: Millis) -> Option<Millis> {
+    let earliest = before.flatten().unwrap_or(f64::NEG_INFINITY);
+    born.map(|born| if born > now || born < earliest { now } else { born })
+}
+
 /// A request that is open, or has attempts out.
 struct Open {
     asked: Rc<Asked>,
@@ -117,6 +130,7 @@
     name: String,
     dial: SocketAddr,
     born_ms: f64,
+    started: Option<Millis>,
     state: Listed,
 }
 
@@ -370,7 +384,7 @@
             self.out(name, ServerId(number_of(name)));
         }
         for name in before.difference(&bans).filter(|name| !self.state.borrow().bans.hold(name)) {
-            self.back(name, ServerId(number_of(name)), SystemTime::now());
+            self.back(name, ServerId(number_of(name)), Duration::ZERO);
         }
     }
 
@@ -689,8 +703,15 @@
             // Its connections ended with the old process.
             self.pool.forget(server);
         }
+        let started = match before {
+            Some(before) if before.born_ms == host.born_ms => before.started,
+            _ => {
+                let born = (host.born_ms > 0.0).then_some(host.born_ms - self.clock.unix_start);
+                started(born, before.map(|before| before.started), self.clock.ago(Duration::ZERO))
+            }
+        };
         if let Some(dial) = dial {
-            hosts.insert(server, Host { name: host.host, dial, born_ms: host.born_ms, state });
+            hosts.insert(server, Host { name: host.host, dial, born_ms: host.born_ms, started, state });
         }
         Some(Entry {
             server,
@@ -699,7 +720,7 @@
             kind: number_of(&host.kind),
             state,
             weight: host.weight,
-            started: self.clock.at_unix(host.born_ms),
+            started,
         })
     }
 
@@ -732,7 +753,7 @@
             (state.lists(name), state.bans.give_back(name)?)
         };
         if was_out {
-            self.unless_banned(name, server, SystemTime::now());
+            self.unless_banned(name, server, Duration::ZERO);
         }
         Ok(listed || was_out || self.state.borrow().out(name))
     }
@@ -744,7 +765,7 @@
             let server = ServerId(number_of(&name));
             match change {
                 Change::Out => self.out(&name, server),
-                Change::Back(at) => self.unless_banned(&name, server, at),
+                Change::Back(ago) => self.unless_banned(&name, server, ago),
             }
         }
     }
@@ -757,18 +778,17 @@
     }
 
     /// It is back where only operators' calls had it out: a ban of the agreed policy holds until a policy lifts it.
-    fn unless_banned(self: &Rc<Self>, name: &str, server: ServerId, at: SystemTime) {
+    fn unless_banned(self: &Rc<Self>, name: &str, server: ServerId, ago: Duration) {
         if self.state.borrow().policy_bans.contains(name) {
             log::line(format!("{name} stays out of use: the agreed policy bans it"));
         } else {
-            self.back(name, server, at);
+            self.back(name, server, ago);
         }
     }
 
-    fn back(self: &Rc<Self>, name: &str, server: ServerId, at: SystemTime) {
+    fn back(self: &Rc<Self>, name: &str, server: ServerId, ago: Duration) {
         log::line(format!("{name} is back in use"));
-        let unix = at.duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
-        self.feed(Event::Enable { server, returned: unix - self.clock.unix_start });
+        self.feed(Event::Enable { server, returned: self.clock.ago(ago) });
     }
 
     /// Where a server listens, if something new may be sent to it.
@@ -805,3 +825,22 @@
 fn span(ms: Millis) -> Duration {
     Duration::from_secs_f64(ms.clamp(0.0, 86_400_000.0) / 1000.0)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_clock_that_was_stepped_by_an_hour_keeps_no_server_cold_and_makes_none_warm_at_once() {
+        const HOUR: Millis = 3_600_000.0;
+        let now = 50_000.0;
+        // As it should be: a start before this node's, and one a moment ago.
+        assert_eq!(started(Some(-9000.0), None, now), Some(-9000.0));
+        assert_eq!(started(Some(now - 400.0), Some(Some(-9000.0)), now), Some(now - 400.0));
+        assert_eq!(started(None, Some(Some(-9000.0)), now), None);
+        // The server's clock was put forward, or this node's back before it started.
+        assert_eq!(started(Some(now - 400.0 + HOUR), Some(Some(-9000.0)), now), Some(now));
+        // The other way round, at a start that was seen.
+        assert_eq!(started(Some(now - 400.0 - HOUR), Some(Some(-9000.0)), now), Some(now));
+    }
+}
