Hold what may stand in a policy in one table, used by replicas and nodes

Replicas and nodes each had a table, and their kinds differed: a replica took a LateValue or BudgetShare over 1, an Slo or Deadline of 0, any ServerWeights from 0 on and counts past 32 bits, which each node then refused by an aborted change; nodes took a server banned twice, which replicas refused.

Names, kinds, bounds and one error type with advice stand in member::policy. Replicas go by Policy::check; nodes lay the policy over their settings by Policy::over, which begins with it, and say themselves what does not fit. The words are those that nodes had. New in the table: Votes, read and checked as member::votes::Figures. In the merged settings it is the policy's alone, null where the policy has none; nothing reads it there yet.

--- a/crates/control/src/edge/calls.rs
+++ b/crates/control/src/edge/calls.rs
@@ -17,7 +17,7 @@
 
 use super::actor::Unanswered;
 use super::answer::{json, raw, Outgoing, Refused};
-use super::{http, shape, watch, Edge};
+use super::{http, watch, Edge};
 use crate::command::{Command, Outcome, PolicyCommand, RosterCommand};
 use crate::config::is_name;
 use crate::gate::Shut;
@@ -194,7 +194,7 @@
 
     async fn propose(self: &Arc<Self>, proposal: Proposal) -> Answered {
         let Proposal { base, policy } = proposal;
-        shape::check(&policy).map_err(|e| Refused::bad(&e, e.advice()))?;
+        policy.check().map_err(|e| Refused::bad(&e, e.advice()))?;
         match self.write(Command::Policy(PolicyCommand::Propose { base, policy })).await? {
             Outcome::Proposed { change, epoch } => self.outcome(change, epoch).await,
             Outcome::Stale { epoch } => {
--- a/crates/control/src/edge/mod.rs
+++ b/crates/control/src/edge/mod.rs
@@ -6,7 +6,6 @@
 //! | `sock` | a connection that does not stand still |
 //! | `calls` | which path takes what, and what comes of it |
 //! | `answer` | answers, and errors with what to do about them |
-//! | `shape` | what may stand in a policy |
 //! | `watch` | the body of a watch |
 //! | `actor` | [`crate::leader::Leader`] while this replica leads |
 //!
@@ -17,7 +16,6 @@
 mod answer;
 mod calls;
 mod http;
-mod shape;
 mod sock;
 mod watch;
 
--- a/crates/control/tests/edge.rs
+++ b/crates/control/tests/edge.rs
@@ -258,7 +258,7 @@
             "/v1/policy",
             "{\"base\":0,\"policy\":{\"Me\":1}}",
             400,
-            "Me can't change in service",
+            "Me: may not change in service",
         ),
         (leader, "PUT", "/v1/policy", &large, 413, "more than"),
         (leader, "POST", "/v1/session", beat, 400, "life 127.0.0.1:0 can't be reached"),
--- a/src/net/agreed.rs
+++ b/src/net/agreed.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use member::policy::PolicyError;
 use member::{Answer, Effect, Epoch, Member, Millis, Policy, Saved};
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::SplitMix64;
@@ -16,7 +17,7 @@
 use tokio::sync::Notify;
 use tokio::task::{spawn_blocking, spawn_local};
 use tokio::time::{sleep, sleep_until, timeout, timeout_at};
-use tulipmount::wire::{with_policy, PolicyError, Told};
+use tulipmount::wire::{with_policy, Told};
 
 use super::config::{Config, Control};
 use super::fault::Advice;
@@ -61,9 +62,7 @@
 impl Advice for Unfit {
     fn advice(&self) -> String {
         match self {
-            Self::Policy(_) => {
-                "propose it without that, or start the nodes with settings that have it".into()
-            }
+            Self::Policy(error) => error.advice().into(),
             Self::OpenCap { .. } => "propose less, or give the node more descriptors and memory".into(),
         }
     }
@@ -300,7 +299,7 @@
     }
 
     fn fit(&self, policy: &Policy) -> Result<Told, Unfit> {
-        let told = with_policy(&self.control.settings, &policy.0)?;
+        let told = with_policy(&self.control.settings, policy)?;
         let (asked, room) = (told.open_cap, self.node.room());
         if asked > room {
             return Err(Unfit::OpenCap { asked, room });
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,7 +10,7 @@
 use crate::balance::Balancer;
 
 mod policy;
-pub use policy::{with_policy, PolicyError};
+pub use policy::with_policy;
 
 /// The bit of a request's marks that says its client's guess at the work holds.
 const GUESSED: u64 = 1;
