Hold words and news on their way in process tests, and judge nodes by their logs

What a node says of a change is held, sent again and let go while another change is under way and the node stands; news of two changes are held at the replicas that do not lead until the leader has told the second one.

--- a/crates/stoneshift/tests/hard.rs
+++ b/crates/stoneshift/tests/hard.rs
@@ -16,6 +16,8 @@
 use relay::{Fault, Flow};
 use serde_json::{json, Value};
 
+/// How long what a node says is held: long enough for a few tries, and less than a promise lasts.
+const LATE: Duration = Duration::from_millis(1000);
 /// Nothing gets to the replica.
 const THERE: Fault = Fault { there: Flow::Cut, back: Flow::Pass, refuse: false };
 /// Nothing comes back from it.
@@ -54,6 +56,8 @@
             let reached = |replica| group.link(Party::Node(node), replica).address().to_string();
             let mut config = operated(&registry);
             config["name"] = json!(format!("n{node}"));
+            // So that they watch at different replicas.
+            config["seed"] = json!(format!("{:016x}", node + 1));
             config["settings"]["Me"] = json!(node);
             config["settings"]["PeersTotal"] = json!(nodes);
             config["control"] = json!({"replicas": (0..3).map(reached).collect::<Vec<_>>(), "start": "wait"});
@@ -153,6 +157,10 @@
         let done = ended.iter().filter(|change| change["aborted"].is_null());
         let committed: BTreeSet<u64> =
             done.map(|change| change["epoch"].as_u64().expect("a number")).chain([0]).collect();
+        for node in &self.nodes {
+            let epochs = node.epochs();
+            assert!(epochs.is_sorted(), "a node went back: {epochs:?}");
+        }
         let mut taken: Vec<_> = self.clients.into_iter().map(Client::end).collect();
         println!("{:?} taken, {committed:?} committed", taken.iter().map(Vec::len).collect::<Vec<_>>());
         if self.upgraded {
@@ -359,32 +367,39 @@
     fleet.judge();
 }
 
-/// What a node says of a change is held on its way, and comes late and more than once, also while another change is
-/// under way that the node, which stands by then, knows nothing of.
+/// What a node says of a change is held on its way, and comes late and more than once, while another change is under way
+/// that the node, which stands by then, knows nothing of.
 #[test]
 fn a_word_that_comes_late_or_twice_counts_for_its_own_change_alone() {
     let fleet = Fleet::start(2, Terms::SHORT);
-    let old = fleet.commit();
-    fleet.until_all_serve_by(old);
-    // Each beat is given up, and made again on another connection, while the one before is still on its way.
-    fleet.cut(1, Fault { there: Flow::Hold, ..NONE });
-    until_aborted_for(&fleet, &["n1"]);
-    fleet.nodes[1].signal("-STOP");
-    let calls = fleet.calls.clone();
-    let (leader, base) = until("it is led", || {
-        let leader = calls.leader()?;
-        Some((leader, calls.policy(leader)?["epoch"].as_u64()?))
-    });
-    let asked =
-        std::thread::spawn(move || calls.propose(leader, base, &json!({"Limits": {"AttemptsCap": 2}})));
-    until("the next change is under way", || {
-        let under_way = !fleet.calls.policy(leader)?["change"].is_null();
-        (under_way || asked.is_finished()).then_some(())
+    fleet.until_all_serve_by(fleet.commit());
+    let propose = |leader: usize| {
+        let calls = fleet.calls.clone();
+        let base = calls.policy(leader)?["epoch"].as_u64()?;
+        let asked =
+            std::thread::spawn(move || calls.propose(leader, base, &json!({"Limits": {"AttemptsCap": 2}})));
+        until("one node has staged a change", || {
+            (asked.is_finished() || fleet.staged(leader) == Some(1)).then_some(())
+        });
+        Some(asked)
+    };
+    let ended = until("a change is under way after one that was called off", || {
+        let leader = fleet.calls.leader()?;
+        // Each beat is given up, and made again on another connection, while the one before is still on its way.
+        fleet.group.link(Party::Node(1), leader).set(Fault { there: Flow::Hold, ..NONE });
+        let first = propose(leader)?;
+        std::thread::sleep(LATE);
+        fleet.nodes[1].signal("-STOP");
+        let called_off = fleet.calls.ask(leader, "DELETE /v1/policy/change");
+        let first = first.join().expect("it was asked");
+        let second = propose(leader);
+        fleet.group.link(Party::Node(1), leader).set(NONE);
+        let ended = second.and_then(|second| second.join().expect("it was asked"));
+        fleet.nodes[1].signal("-CONT");
+        assert!(first.as_ref().and_then(epoch).is_none(), "committed without a word: {first:?}");
+        ended.filter(|_| called_off.is_some_and(|answer| answer.status == 200))
     });
-    fleet.cut(1, NONE);
-    let ended = asked.join().expect("it was asked");
-    assert!(ended.as_ref().and_then(epoch).is_none(), "committed on a word about another: {ended:?}");
-    fleet.nodes[1].signal("-CONT");
+    assert!(epoch(&ended).is_none(), "committed on a word about another: {ended:?}");
     let new = fleet.commit();
     fleet.until_all_serve_by(new);
     fleet.judge();
@@ -395,6 +410,17 @@
 #[test]
 fn beats_that_are_sent_twice_and_answers_that_come_late_change_nothing() {
     let fleet = Fleet::start(4, Terms::SHORT);
+    // News of two changes come when the leader has long told the second one.
+    let leader = fleet.calls.until_led();
+    for (node, replica) in (0..4).flat_map(|node| (0..3).map(move |replica| (node, replica))) {
+        if replica != leader {
+            fleet.group.link(Party::Node(node), replica).set(Fault { back: Flow::Hold, ..NONE });
+        }
+    }
+    fleet.commit();
+    fleet.until_all_serve_by(fleet.commit());
+    fleet.mend();
+
     let start = Instant::now();
     let mut round = 0;
     std::thread::scope(|scope| {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -507,6 +507,13 @@
         self.log.lock().expect("no panic").iter().any(|l| l.contains(words))
     }
 
+    /// The epochs that it has judged by, in their order.
+    pub fn epochs(&self) -> Vec<u64> {
+        let lines = self.log.lock().expect("no panic");
+        let epoch = |l: &String| l.split_once("judges by epoch ")?.1.parse().ok();
+        lines.iter().filter_map(epoch).collect()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
