Serve votes on servers at replicas: beats in, verdicts told by answers and watches

Need: the tally and the verdicts on the log were there, and nothing fed or told them. The task that leads holds a tally while the agreed policy has Votes, feeds it with beats, writes its commands in its own term and logs each removal, probing and return with what was voted. An answer asks about servers, and tells verdicts where the beat has votes and knows another version; the watch's line has them, too. GET /v1/verdicts tells what is on the log at any replica, and at the leader who votes what. Without Votes no tally is held and nothing more goes over the wire.

--- a/crates/control/src/edge/actor.rs
+++ b/crates/control/src/edge/actor.rs
@@ -1,4 +1,5 @@
 //! The one task that holds the [`Leader`] while this replica leads: what happens goes in, what it wants is carried out.
+//! Beside it is the [`Tally`], while the agreed policy has votes on servers.
 //!
 //! Each term has a leader of its own. When a term is over, all that it waits for is dropped with it: whoever has a beat
 //! there hears that this replica does not lead, and what was written stands or falls by the log.
@@ -16,8 +17,12 @@
 use tokio::task::{JoinError, JoinSet};
 use tokio::time::{sleep, timeout, Instant};
 
+use crate::command::{Command, Outcome, VerdictCommand};
 use crate::leader::{Effect, Input, Leader, Refusal, Terms};
 use crate::machine::Agreement;
+use crate::tally::shown::Shown;
+use crate::tally::{self, Tally};
+use crate::verdicts::Case;
 
 /// How many calls may wait to be taken.
 const CALLS_MOST: usize = 4096;
@@ -28,8 +33,9 @@
 
 /// A call to the leader here; dropped unanswered where this replica does not lead.
 enum Call {
-    Beat(Beat, oneshot::Sender<Result<Answer, Refusal>>),
+    Beat(Box<Beat>, oneshot::Sender<Result<Answer, Refusal>>),
     Nodes(oneshot::Sender<Nodes>),
+    Votes(oneshot::Sender<Option<Shown>>),
 }
 
 /// Why the leader here gives no answer.
@@ -91,7 +97,7 @@
     /// # Errors
     /// Where there is none here, or it says no.
     pub async fn beat(&self, beat: Beat) -> Result<Answer, Unanswered> {
-        self.call(|answer| Call::Beat(beat, answer)).await?.map_err(Unanswered::Refused)
+        self.call(|answer| Call::Beat(Box::new(beat), answer)).await?.map_err(Unanswered::Refused)
     }
 
     /// What the leader here knows of the members.
@@ -102,6 +108,14 @@
         self.call(Call::Nodes).await
     }
 
+    /// What the leader here knows of votes on servers; `None` while there are none.
+    ///
+    /// # Errors
+    /// Where there is none here.
+    pub async fn votes(&self) -> Result<Option<Shown>, Unanswered> {
+        self.call(Call::Votes).await
+    }
+
     async fn call<T>(&self, call: impl FnOnce(oneshot::Sender<T>) -> Call) -> Result<T, Unanswered> {
         let (answer, answered) = oneshot::channel();
         self.0.try_send(call(answer)).map_err(|e| match e {
@@ -154,10 +168,10 @@
                     Some(call) => Event::Call(call),
                     None => return,
                 },
-                Some(input) = next(&mut term) => Event::Input(input),
+                Some(input) = next(&mut term) => Event::Input(Box::new(input)),
                 changed = applied.changed(), if term.is_some() => {
                     if changed.is_err() { return }
-                    Event::Input(Input::Applied)
+                    Event::Input(Box::new(Input::Applied))
                 }
             };
             // What was done for a term counts for that term alone, which may have ended since.
@@ -171,13 +185,14 @@
 
 enum Event {
     Call(Call),
-    Input(Input),
+    Input(Box<Input>),
 }
 
 /// What the term's own tasks and timer bring; waits for ever without a term.
 async fn next(term: &mut Option<Term>) -> Option<Input> {
     let Some(term) = term else { return std::future::pending().await };
-    let due = term.leader.next().map_or(Duration::MAX, |next| {
+    let next = term.leader.next().into_iter().chain(term.tally.as_ref().and_then(Tally::next));
+    let due = next.min_by(f64::total_cmp).map_or(Duration::MAX, |next| {
         let wait = (next - term.now()).clamp(0.0, 60_000.0);
         Duration::from_secs_f64(wait / 1000.0)
     });
@@ -202,15 +217,26 @@
     (term << STARTS_BITS) | (starts & ((1 << STARTS_BITS) - 1))
 }
 
+/// Who waits for an answer to a beat.
+struct Waiting {
+    answer: oneshot::Sender<Result<Answer, Refusal>>,
+    /// The version of the verdicts that the beat knows, where it has votes.
+    verdicts: Option<u64>,
+}
+
 /// One term that this replica leads.
 struct Term {
     number: u64,
+    /// The same as in the stamps of its answers.
+    reign: u64,
     leader: Leader,
+    /// While the agreed policy has votes.
+    tally: Option<Tally>,
     replica: Replica<Agreement>,
     session_ms: Millis,
     start: Instant,
     /// Who waits for an answer, by token.
-    waiting: HashMap<u64, oneshot::Sender<Result<Answer, Refusal>>>,
+    waiting: HashMap<u64, Waiting>,
     token: u64,
     /// Writes, confirms and probes on their way; at most one a process, one change and one round.
     tasks: JoinSet<Input>,
@@ -220,10 +246,12 @@
 
 impl Term {
     fn new(actor: &Actor, number: u64) -> Self {
-        let now = ms(actor.start.elapsed());
+        let (now, reign) = (ms(actor.start.elapsed()), reign(number, actor.starts));
         Self {
             number,
-            leader: Leader::new(actor.terms.clone(), reign(number, actor.starts), now),
+            reign,
+            leader: Leader::new(actor.terms.clone(), reign, now),
+            tally: None,
             replica: actor.replica.clone(),
             session_ms: actor.terms.session_ms,
             start: actor.start,
@@ -251,7 +279,7 @@
                 (Err(_), None) => break,
                 (call, done) => {
                     events.extend(call.ok().map(Event::Call));
-                    events.extend(done.map(|done| Event::Input(done_input(done))));
+                    events.extend(done.map(|done| Event::Input(Box::new(done_input(done)))));
                 }
             }
         }
@@ -260,20 +288,49 @@
 
     fn take(&mut self, events: Vec<Event>) {
         let mut inputs = Vec::with_capacity(events.len());
+        let mut ballots = Vec::new();
         for event in events {
             match event {
-                Event::Input(input) => inputs.push(input),
+                Event::Input(input) => match *input {
+                    Input::Written { command: Command::Verdict(command), outcome } => {
+                        log(&command, outcome.as_ref());
+                        ballots.push(tally::Input::Written { command, outcome });
+                    }
+                    Input::Applied => {
+                        ballots.push(tally::Input::Applied);
+                        inputs.push(Input::Applied);
+                    }
+                    Input::Tick => {
+                        ballots.push(tally::Input::Tick);
+                        inputs.push(Input::Tick);
+                    }
+                    input => inputs.push(input),
+                },
                 // Who asked may have gone.
                 Event::Call(Call::Nodes(answer)) => drop(answer.send(self.nodes())),
-                Event::Call(Call::Beat(beat, answer)) => {
+                Event::Call(Call::Votes(answer)) => drop(answer.send(self.votes())),
+                Event::Call(Call::Beat(mut beat, answer)) => {
                     self.token += 1;
-                    self.waiting.insert(self.token, answer);
-                    inputs.push(Input::Beat { token: self.token, beat });
+                    let verdicts = beat.votes.as_ref().map(|_| beat.verdicts.unwrap_or_default());
+                    self.waiting.insert(self.token, Waiting { answer, verdicts });
+                    let (process, echo) = (beat.process.clone(), beat.echo);
+                    ballots.push(tally::Input::Beat { process, echo, votes: beat.votes.take() });
+                    inputs.push(Input::Beat { token: self.token, beat: *beat });
                 }
             }
         }
-        let (now, leader, said) = (self.now(), &mut self.leader, &mut self.said);
-        let effects = self.replica.read(|agreement, _| {
+        let (now, reign) = (self.now(), self.reign);
+        let (leader, tally, said, waiting) =
+            (&mut self.leader, &mut self.tally, &mut self.said, &self.waiting);
+        let (effects, commands) = self.replica.read(|agreement, _| {
+            let votes = agreement.book().policy().0.contains_key("Votes");
+            *tally = tally.take().filter(|_| votes);
+            let commands = match votes {
+                true => {
+                    tally.get_or_insert_with(|| Tally::new(reign, now)).handle_all(now, ballots, agreement)
+                }
+                false => Vec::new(),
+            };
             let member = |process: &Process| agreement.roster().seat(process).is_some();
             for input in &inputs {
                 match input {
@@ -284,8 +341,25 @@
                     _ => {}
                 }
             }
-            leader.handle_all(now, inputs, agreement)
+            let mut effects = leader.handle_all(now, inputs, agreement);
+            if let Some(tally) = tally {
+                for effect in &mut effects {
+                    let Effect::Answer { token, answer } = effect else { continue };
+                    let Some(known) = waiting.get(token).and_then(|waiting| waiting.verdicts) else {
+                        continue;
+                    };
+                    answer.asked = tally.asked().to_vec();
+                    // Another one, not a newer one: a group that was set up again counts from less.
+                    if known != agreement.verdicts().version() {
+                        answer.verdicts = Some(agreement.verdicts().told());
+                    }
+                }
+            }
+            (effects, commands)
         });
+        for command in commands {
+            self.carry_out(now, Effect::Write(Command::Verdict(command)));
+        }
         for effect in effects {
             self.carry_out(now, effect);
         }
@@ -336,10 +410,16 @@
     fn answer(&mut self, token: u64, answer: Result<Answer, Refusal>) {
         if let Some(waiting) = self.waiting.remove(&token) {
             // Who asked may have gone.
-            let _ = waiting.send(answer);
+            let _ = waiting.answer.send(answer);
         }
     }
 
+    fn votes(&self) -> Option<Shown> {
+        let now = self.now();
+        let tally = self.tally.as_ref()?;
+        Some(self.replica.read(|agreement, _| tally.shown(now, agreement)))
+    }
+
     fn nodes(&self) -> Nodes {
         let now = self.now();
         let heard: BTreeMap<&Process, Millis> = self.leader.sessions(now).collect();
@@ -378,6 +458,30 @@
     }
 }
 
+/// One line for each server that is removed, probed or back, with what was voted.
+fn log(command: &VerdictCommand, outcome: Option<&Outcome>) {
+    let case = |case: &Case| serde_json::to_string(case).unwrap_or_default();
+    match (command, outcome) {
+        (VerdictCommand::Remove { server, zone, zones, case: by, .. }, Some(Outcome::Done)) => {
+            tracing::info!(server, zone, ?zones, votes = case(by), "removed by votes");
+        }
+        (VerdictCommand::Remove { server, zone, up, .. }, Some(Outcome::Capped)) => {
+            tracing::info!(server, zone, up, "not removed by votes: as many of its zone are as may be");
+        }
+        (VerdictCommand::Probe { server, probers, .. }, Some(Outcome::Done)) => {
+            tracing::info!(server, ?probers, "removed by votes, its term is over: probed");
+        }
+        (VerdictCommand::Extend { server, case: by, .. }, Some(Outcome::Done)) => {
+            tracing::info!(server, votes = case(by), "stays removed by votes for another term");
+        }
+        (VerdictCommand::Return { server, why, case: by, .. }, Some(Outcome::Done)) => {
+            let votes = by.as_ref().map(case).unwrap_or_default();
+            tracing::info!(server, ?why, votes, "back, no more removed by votes");
+        }
+        _ => {}
+    }
+}
+
 fn ms(span: Duration) -> Millis {
     span.as_secs_f64() * 1000.0
 }
--- a/crates/control/src/edge/calls.rs
+++ b/crates/control/src/edge/calls.rs
@@ -1,5 +1,6 @@
 //! The calls: which path takes what, and what comes of it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,7 +28,7 @@
 /// How long a body may take to come.
 const BODY_TIME: Duration = Duration::from_secs(5);
 /// The largest beat, in bytes.
-const BEAT_MOST: usize = 16 * 1024;
+const BEAT_MOST: usize = 64 * 1024;
 /// What is added to the time that a change may take, for elections and writes.
 const MARGIN: Duration = Duration::from_secs(3);
 
@@ -41,6 +42,7 @@
     Policy,
     Change,
     Nodes,
+    Verdicts,
     Node(&'a str),
     Replica(&'a str),
     Status,
@@ -61,6 +63,7 @@
             [Some("v1"), Some("policy"), None, _] => Self::Policy,
             [Some("v1"), Some("policy"), Some("change"), None] => Self::Change,
             [Some("v1"), Some("nodes"), None, _] => Self::Nodes,
+            [Some("v1"), Some("verdicts"), None, _] => Self::Verdicts,
             [Some("v1"), Some("nodes"), Some(name), None] => Self::Node(name),
             [Some("v1"), Some("replicas"), Some(id), None] => Self::Replica(id),
             [Some("v1"), Some("status"), None, _] => Self::Status,
@@ -72,7 +75,7 @@
     fn methods(self) -> &'static str {
         match self {
             Self::Session | Self::Letter => "POST",
-            Self::Watch | Self::Nodes | Self::Status | Self::Ready => "GET",
+            Self::Watch | Self::Nodes | Self::Verdicts | Self::Status | Self::Ready => "GET",
             Self::Policy => "GET, PUT",
             Self::Change | Self::Node(_) => "DELETE",
             Self::Replica(_) => "PUT, DELETE",
@@ -134,6 +137,7 @@
                 Ok(nodes) => Ok(json(StatusCode::OK, &nodes)),
                 Err(unanswered) => Err(self.unanswered(unanswered)),
             },
+            Place::Verdicts => self.verdicts().await,
             Place::Node(name) => self.remove(name).await,
             Place::Replica(id) if put => {
                 let At { address } = parse(&whole(body, self.config.limits.body_bytes).await?)?;
@@ -192,6 +196,26 @@
         })
     }
 
+    /// What is on the log, and at the leader what it knows of votes besides.
+    async fn verdicts(&self) -> Answered {
+        let votes = self.actor.votes().await;
+        let leading = self.replica.leading().borrow().clone();
+        let leader = leading.leader.map(|(_, address)| address);
+        let (leads, votes) = (votes.is_ok(), votes.ok().flatten());
+        let in_touch = *self.in_touch.borrow();
+        let said = self.replica.read(|agreement, version| {
+            let verdicts = agreement.verdicts();
+            let past: Vec<_> = verdicts.past().collect();
+            let removed: BTreeMap<_, _> = verdicts.entries().collect();
+            json!({
+                "version": version, "in_touch": in_touch, "leads": leads, "leader": leader,
+                "on": agreement.book().policy().0.contains_key("Votes"), "changed": verdicts.version(),
+                "removed": removed, "ended": past, "votes": votes,
+            })
+        });
+        Ok(json(StatusCode::OK, &said))
+    }
+
     async fn propose(self: &Arc<Self>, proposal: Proposal) -> Answered {
         let Proposal { base, policy } = proposal;
         policy.check().map_err(|e| Refused::bad(&e, e.advice()))?;
--- a/crates/control/src/edge/mod.rs
+++ b/crates/control/src/edge/mod.rs
@@ -250,16 +250,21 @@
     })
 }
 
-/// Shows each change of policy to whoever watches, and to the log.
+/// Shows each change of policy and of verdicts to whoever watches, and each change of policy to the log.
 async fn follow(replica: Replica<Agreement>, hub: Hub) {
     let mut applied = replica.applied();
     let mut shown = None;
     loop {
         applied.borrow_and_update();
-        let fresh = replica
-            .read(|agreement, _| (shown != Some(agreement.book().version())).then(|| agreement.agreed()));
-        if let Some(agreed) = fresh {
+        let fresh = replica.read(|agreement, _| {
+            let mark = (agreement.book().version(), agreement.verdicts().version());
+            let told = || (mark, agreement.agreed(), agreement.verdicts().told());
+            (shown != Some(mark)).then(told)
+        });
+        if let Some((mark, agreed, verdicts)) = fresh {
+            let policy = shown.is_none_or(|(policy, _): (u64, u64)| policy != mark.0);
             match (&agreed.change, agreed.ended.last()) {
+                _ if !policy => {}
                 (Some(change), _) => {
                     tracing::info!(change = change.id.0, epoch = change.epoch, "a change is under way");
                 }
@@ -272,9 +277,10 @@
                 }
                 (None, None) => {}
             }
-            let version = agreed.version;
-            shown = Some(version);
-            let news = News { agreed: Some(agreed), version };
+            let version = mark.0.max(mark.1);
+            shown = Some(mark);
+            let verdicts = Some(verdicts).filter(|verdicts| verdicts.version > 0);
+            let news = News { agreed: Some(agreed), version, verdicts };
             match serde_json::to_vec(&news) {
                 Ok(mut line) => {
                     line.push(b'\n');
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -424,7 +424,7 @@
         agreement: &Agreement,
         effects: &mut Vec<Effect>,
     ) {
-        let Beat { process, life, beside, echo, active, known, change, bye } = beat;
+        let Beat { process, life, beside, echo, active, known, change, bye, .. } = beat;
         if process.name.is_empty() || process.name.len() > NAME_MOST {
             effects.push(Effect::Refuse { token, why: Refusal::Name });
             return;
@@ -549,6 +549,8 @@
                 fenced,
                 promise_ms: self.terms.promise_ms,
                 superseded: seat.is_none(),
+                asked: Vec::new(),
+                verdicts: None,
             });
             effects.push(Effect::Answer { token, answer });
         }
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -29,6 +29,8 @@
         known: None,
         change: None,
         bye: false,
+        votes: None,
+        verdicts: None,
     }
 }
 
--- a/crates/member/src/messages.rs
+++ b/crates/member/src/messages.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::votes::{Verdicts, Votes};
 use crate::{Millis, Policy};
 
 /// The number of an agreed policy; 0 is the settings that each node was started with. Grows with each commit; the
@@ -49,6 +50,12 @@
     /// It has nothing open and ends: its session closes.
     #[serde(default)]
     pub bye: bool,
+    /// What it says of servers, while the policy that it judges by has votes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub votes: Option<Votes>,
+    /// The version of the verdicts that it knows, beside `votes`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub verdicts: Option<u64>,
 }
 
 /// What a member says of a change.
@@ -106,6 +113,12 @@
     /// A newer process of this node has taken its place (or operators have removed it): it takes nothing new any more.
     #[serde(default)]
     pub superseded: bool,
+    /// Servers that the leader would hear good of, too; of all others it is told only what is bad.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub asked: Vec<String>,
+    /// What is in force for servers, where the beat had votes and knew another version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub verdicts: Option<Verdicts>,
 }
 
 /// What is agreed, as an answer tells it: a policy is long, beats are many, and most of them are answered with nothing new.
@@ -208,6 +221,9 @@
     pub agreed: Option<Agreed>,
     /// The log's version that the line brings the watcher to.
     pub version: u64,
+    /// What is in force for servers, where the agreed policy has votes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub verdicts: Option<Verdicts>,
 }
 
 /// Said by a replica that does not lead, with status 503.
--- a/crates/member/src/side.rs
+++ b/crates/member/src/side.rs
@@ -220,6 +220,8 @@
                 Work::Refused { words } => Some(Word::Refused { change: change.id, words: words.clone() }),
             }),
             bye: self.leaving,
+            votes: None,
+            verdicts: None,
         }
     }
 
--- a/crates/member/tests/side.rs
+++ b/crates/member/tests/side.rs
@@ -28,6 +28,8 @@
         fenced: false,
         promise_ms: 2000.0,
         superseded: false,
+        asked: Vec::new(),
+        verdicts: None,
     }
 }
 
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -87,6 +87,8 @@
                     fenced: false,
                     promise_ms: PROMISE_MS,
                     superseded: beat.bye,
+                    asked: Vec::new(),
+                    verdicts: None,
                 };
                 (!t.deaf).then(|| (200, serde_json::to_string(&said)))
             });
@@ -106,7 +108,7 @@
             let agreed = self.with(|t| (!t.dumb && t.agreed.version != seen).then(|| t.agreed.clone()));
             if let Some(agreed) = agreed {
                 seen = agreed.version;
-                let news = News { version: seen, agreed: Some(agreed) };
+                let news = News { version: seen, agreed: Some(agreed), verdicts: None };
                 let line = serde_json::to_string(&news).expect("plain data");
                 write!(out, "{:x}\r\n{line}\n\r\n", line.len() + 1).ok()?;
             }
