Vote on servers from nodes, and heed verdicts

Need: the module holds evidence and heeds rulings, the group counts and decides; nothing joined the two. Each answer to such a beat gives the module the verdicts that hold here: for its own zone (control.zone) or for all, and of that process only. Each removal, probing and return is one line of the log with the node's own evidence, and /metrics has votes.*.

--- a/src/net/agreed.rs
+++ b/src/net/agreed.rs
@@ -172,9 +172,13 @@
             let kept = line.as_ref().is_some_and(|l| l.at() == at);
             let asked = timeout(BEAT, self.beat(&mut line, at)).await;
             match asked.unwrap_or(Err(CallError::Silent { at })) {
-                Ok((sent, answer)) => {
+                Ok((sent, voted, mut answer)) => {
                     (hints, failed) = (0, 0);
+                    let (asked, verdicts) = (std::mem::take(&mut answer.asked), answer.verdicts.take());
                     self.with(|member, now| member.answered(sent, answer, now));
+                    if voted {
+                        self.node.answered(self.control.zone.as_deref(), asked, verdicts);
+                    }
                     self.until_due().await;
                 }
                 // The replica has closed what was idle, or is another one by now.
@@ -196,15 +200,22 @@
         self.left.notify_one();
     }
 
-    /// One beat, with when it was handed out.
-    async fn beat(&self, line: &mut Option<Line>, at: SocketAddr) -> Result<(Millis, Answer), CallError> {
+    /// One beat, with when it was handed out and whether it had votes on servers.
+    async fn beat(
+        &self,
+        line: &mut Option<Line>,
+        at: SocketAddr,
+    ) -> Result<(Millis, bool, Answer), CallError> {
         let line = match line.take() {
             Some(kept) if kept.at() == at => line.insert(kept),
             _ => line.insert(Line::to(at).await?),
         };
         let sent = self.gate.now();
-        let beat = self.gate.member.borrow_mut().beat(sent);
-        Ok((sent, line.beat(&beat).await?))
+        let mut beat = self.gate.member.borrow_mut().beat(sent);
+        if !beat.bye {
+            (beat.votes, beat.verdicts) = self.node.votes(self.control.zone.as_deref()).unzip();
+        }
+        Ok((sent, beat.votes.is_some(), line.beat(&beat).await?))
     }
 
     async fn until_due(&self) {
@@ -234,6 +245,9 @@
             if let Some(agreed) = news.agreed {
                 self.with(|member, now| member.news(agreed, now));
             }
+            if let Some(verdicts) = news.verdicts {
+                self.node.news(self.control.zone.as_deref(), verdicts);
+            }
         }
         Ok(())
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -9,6 +9,7 @@
 use std::path::PathBuf;
 
 use endpoints::Update;
+use member::votes::SERVER_MOST;
 use member::Start;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
@@ -52,6 +53,8 @@
     pub start: Start,
     /// The folder in which it keeps the epoch that it judged by last.
     pub folder: Option<PathBuf>,
+    /// The node's own zone, by which verdicts on servers hold for it; without one only those for all zones do.
+    pub zone: Option<String>,
     /// The settings as they were given, which policies go over.
     pub settings: Value,
 }
@@ -171,6 +174,7 @@
     #[serde(default)]
     start: First,
     saved_after_ms: Option<f64>,
+    zone: Option<String>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -299,6 +303,10 @@
         let words = format!("0 to {SAVED_AFTER_MOST} expected, not {after_ms}");
         return Err(fault("control.saved_after_ms", words));
     }
+    if let Some(zone) = group.zone.as_ref().filter(|zone| !(1..=SERVER_MOST).contains(&zone.len())) {
+        let words = format!("a name of 1 to {SERVER_MOST} bytes expected, not one of {}", zone.len());
+        return Err(fault("control.zone", words));
+    }
     let start = match group.start {
         First::Wait => Start::Wait,
         First::Saved if folder.is_some() => Start::Saved { after_ms },
@@ -309,7 +317,7 @@
             format!("with control, an address that the replicas can reach expected, not {}", listen.ip());
         return Err(fault("listen", words));
     }
-    Ok(Control { replicas, start, folder, settings })
+    Ok(Control { replicas, start, folder, zone: group.zone, settings })
 }
 
 fn fault(field: &str, words: String) -> ConfigError {
@@ -374,13 +382,16 @@
         let control = |c| with(c, json!("/state")).map(|c| c.control.expect("configured"));
         assert!(with(Value::Null, json!("/state")).expect("good").control.is_none());
         assert_eq!(control(json!({"replicas": at})).expect("good").start, Start::Wait);
-        let saved = control(json!({"replicas": at, "start": "saved", "saved_after_ms": 500})).expect("good");
+        let saved = json!({"replicas": at, "start": "saved", "saved_after_ms": 500, "zone": "a"});
+        let saved = control(saved).expect("good");
         assert_eq!((saved.start, saved.replicas.len()), (Start::Saved { after_ms: 500.0 }, 1));
+        assert_eq!(saved.zone.as_deref(), Some("a"));
         for (field, spoilt) in [
             ("control.replicas", json!({"replicas": []})),
             ("control.replicas[0]", json!({"replicas": ["nowhere"]})),
             ("control.start", json!({"replicas": at, "start": "soon"})),
             ("control.saved_after_ms", json!({"replicas": at, "saved_after_ms": -1})),
+            ("control.zone", json!({"replicas": at, "zone": ""})),
         ] {
             let words = control(spoilt).err().expect("refused");
             assert!(words.starts_with(&format!("{field}: ")), "{field}: {words}");
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -18,6 +18,23 @@
 /// The names of the ends, in their order.
 const ENDS: [&str; 3] = ["success", "overload", "error"];
 
+/// What a node knows of votes on servers.
+#[derive(Clone, Copy, Debug)]
+pub struct Voting {
+    /// Servers that it suspects.
+    pub suspects: usize,
+    /// Servers that a verdict holds for here.
+    pub removed: usize,
+    /// Too many are out: verdicts are not heeded.
+    pub panic: bool,
+    /// The group's word is too old: it ejects by its own evidence.
+    pub alone: bool,
+    /// It suspects too many, and abstains.
+    pub doubts: bool,
+    /// How long ago a leader answered, in whole milliseconds; `None` where none has.
+    pub word_age_ms: Option<u64>,
+}
+
 /// Counts from the start of the process on.
 pub struct Metrics {
     /// For each class, how many requests ended in which way.
@@ -46,13 +63,15 @@
 
     /// All figures, one a line. `classes` are the names; `targets` and `disabled` how many servers the list has,
     /// and how many of those are avoided; `policy` the epoch that requests are judged by, if one is known, and
-    /// whether none are taken, where there is a control group.
+    /// whether none are taken, where there is a control group; `votes` what is known of votes on servers, while there
+    /// are any.
     pub fn text(
         &self,
         classes: &[String],
         targets: usize,
         disabled: usize,
         policy: Option<(Option<u64>, bool)>,
+        votes: Option<Voting>,
     ) -> String {
         let mut text = String::new();
         let mut line = |name: &str, value: u64| {
@@ -74,6 +93,16 @@
             }
             line("policy.held", held.into());
         }
+        if let Some(votes) = votes {
+            line("votes.suspects", votes.suspects as u64);
+            line("votes.removed", votes.removed as u64);
+            line("votes.panic", votes.panic.into());
+            line("votes.alone", votes.alone.into());
+            line("votes.doubts", votes.doubts.into());
+            if let Some(age) = votes.word_age_ms {
+                line("votes.word_age_ms", age);
+            }
+        }
         text
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,7 @@
 //! The node round the decision module: sockets in, sockets out, no decisions.
 //!
 //! A file uses only files that come before it in this order:
-//! - `fault`, `log`, `metrics`, `bans`, `config`, `listen`, `saved`: each alone with its subject,
+//! - `fault`, `log`, `metrics`, `bans`, `config`, `listen`, `saved`, `votes`: each alone with its subject,
 //! - `bodies`, `sock`, `request`: what passes through, and on what,
 //! - `pool`: connections to servers,
 //! - `gate`: whether a request may be taken, by what the fleet has agreed,
@@ -31,6 +31,7 @@
 pub mod saved;
 pub mod servers;
 pub mod sock;
+pub mod votes;
 
 #[cfg(test)]
 mod tests {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -9,13 +9,14 @@
 
 use endpoints::{Action as Do, CallId, Follower, Health, Mode, Ms, Update};
 use hyper::StatusCode;
+use member::votes::{Ballot, Verdicts, Votes};
 use member::Epoch;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use tulipmount::wire::Told;
 use tulipmount::{
-    Action, Balancer, Discovery, Entry, Event, Listed, Millis, Outcome, RequestId, ServerId, Settings,
-    SettingsError,
+    Action, Balancer, Discovery, Entry, Event, Listed, Millis, Outcome, RequestId, Ruling, ServerId,
+    Settings, SettingsError,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -24,9 +25,10 @@
 use super::config::Config;
 use super::gate::{Gate, Stop};
 use super::log;
-use super::metrics::Metrics;
+use super::metrics::{Metrics, Voting};
 use super::pool::Pool;
 use super::request::{Answer, Asked, Reply, To};
+use super::votes::{self, Word};
 
 /// How long the node waits for discovery before it serves by the saved list.
 const READY_WITHIN: Duration = Duration::from_millis(2500);
@@ -131,6 +133,8 @@
     dial: SocketAddr,
     born_ms: f64,
     started: Option<Millis>,
+    /// The name of its zone, where there is a control group.
+    zone: Option<Box<str>>,
     state: Listed,
 }
 
@@ -149,6 +153,8 @@
     calls: BTreeMap<CallId, AbortHandle>,
     /// The servers that the agreed policy takes out, by name.
     policy_bans: BTreeSet<String>,
+    /// What the control group says of servers, while the agreed policy has votes.
+    word: Option<Word>,
 }
 
 impl State {
@@ -223,6 +229,7 @@
             follower: Follower::new(mode, known.as_ref(), 0),
             calls: BTreeMap::new(),
             policy_bans: BTreeSet::new(),
+            word: None,
         };
         let node = Rc::new(Self {
             pool: Pool::new(&config),
@@ -373,6 +380,10 @@
     /// Judges by a policy from now on; what has been taken goes on under that by which it was.
     pub fn judge_by(self: &Rc<Self>, told: Told) {
         self.open_cap.set(told.open_cap);
+        {
+            let word = &mut self.state.borrow_mut().word;
+            *word = told.settings.votes.is_some().then(|| word.take().unwrap_or_default());
+        }
         self.feed(Event::Policy(Box::new(settings(&told))));
         self.ban(told.bans.into_iter().collect());
     }
@@ -388,6 +399,95 @@
         }
     }
 
+    // ---- Votes ----
+
+    /// What the next beat says of servers, and the version of the verdicts that are known; `None` while the agreed
+    /// policy has no votes. `zone` is the node's own.
+    pub fn votes(&self, zone: Option<&str>) -> Option<(Votes, u64)> {
+        let state = self.state.borrow();
+        let word = state.word.as_ref()?;
+        let own = state.balancer.ballots();
+        let ballots = own.ballots.into_iter().filter_map(|own| {
+            let host = state.hosts.get(&own.server)?;
+            Some(Ballot {
+                server: host.name.clone(),
+                born_ms: host.born_ms,
+                zone: host.zone.as_deref().unwrap_or_default().to_owned(),
+                stand: own.stand,
+                evidence: own.evidence,
+            })
+        });
+        let up = |host: &&Host| host.state == Listed::Up && !state.policy_bans.contains(&host.name);
+        let up = state.hosts.values().filter(up).map(|host| host.zone.as_deref().unwrap_or_default());
+        Some((word.votes(zone, up, own.doubts, ballots.collect()), word.version()))
+    }
+
+    /// A leader has answered a beat that had votes: its word on servers is fresh, changed or not.
+    pub fn answered(self: &Rc<Self>, zone: Option<&str>, asked: Vec<String>, verdicts: Option<Verdicts>) {
+        let now = self.clock.at(Instant::now());
+        let known = match &mut self.state.borrow_mut().word {
+            Some(word) => {
+                word.answered(asked, verdicts, now);
+                true
+            }
+            None => false,
+        };
+        if known {
+            self.rule(zone);
+        }
+    }
+
+    /// A replica's watch has told what is in force for servers.
+    pub fn news(self: &Rc<Self>, zone: Option<&str>, verdicts: Verdicts) {
+        let newer = self.state.borrow_mut().word.as_mut().is_some_and(|word| word.news(verdicts));
+        if newer {
+            self.rule(zone);
+        }
+    }
+
+    /// Has the module heed the verdicts that hold here.
+    fn rule(self: &Rc<Self>, zone: Option<&str>) {
+        let rulings = {
+            let state = &mut *self.state.borrow_mut();
+            let Some(word) = &mut state.word else { return };
+            let hosts = &state.hosts;
+            let born = |name: &str| {
+                hosts.get(&ServerId(number_of(name))).filter(|h| h.name == name).map(|h| h.born_ms)
+            };
+            let held: BTreeMap<String, bool> = word
+                .rulings(&self.config.name, zone, born)
+                .map(|(server, probe)| (server.to_owned(), probe))
+                .collect();
+            let ruling =
+                |(name, &probe): (&String, &bool)| Ruling { server: ServerId(number_of(name)), probe };
+            let rulings = held.iter().map(ruling).collect();
+            for (name, turn) in word.note(held) {
+                let server = ServerId(number_of(&name));
+                let own = state.balancer.ballots().ballots.into_iter().find(|own| own.server == server);
+                let words =
+                    own.map_or("too few attempts of late".to_owned(), |own| votes::words(own.evidence));
+                log::line(format!("{name} {turn} (version {}); from here: {words}", word.version()));
+            }
+            rulings
+        };
+        self.feed(Event::Verdicts(rulings));
+    }
+
+    /// What operators are shown of votes.
+    fn voting(&self) -> Option<Voting> {
+        let state = self.state.borrow();
+        let word = state.word.as_ref()?;
+        let own = state.balancer.ballots();
+        Some(Voting {
+            suspects: own.suspects,
+            removed: word.held(),
+            panic: own.panic,
+            alone: own.alone,
+            doubts: own.doubts,
+            word_age_ms: word.age(self.clock.at(Instant::now())).map(|age| age as u64),
+        })
+    }
+
     // ---- Events ----
 
     /// Hands an event to the module and does what it says. Events that come of that wait their turn.
@@ -480,9 +580,10 @@
 
     /// The figures.
     pub fn figures(&self) -> String {
-        let state = self.state.borrow();
+        let (voting, state) = (self.voting(), self.state.borrow());
         let policy = self.gate.as_ref().map(|gate| (gate.member.borrow().active(), gate.admit().is_err()));
-        self.metrics.text(&self.config.told.classes, state.hosts.len(), state.balancer.avoided(), policy)
+        let (targets, avoided) = (state.hosts.len(), state.balancer.avoided());
+        self.metrics.text(&self.config.told.classes, targets, avoided, policy, voting)
     }
 
     /// Fails all that is still open: the node ends, and an answer is better than a reset.
@@ -711,7 +812,8 @@
             }
         };
         if let Some(dial) = dial {
-            hosts.insert(server, Host { name: host.host, dial, born_ms: host.born_ms, started, state });
+            let zone = self.gate.is_some().then(|| host.zone.as_str().into());
+            hosts.insert(server, Host { name: host.host, dial, born_ms: host.born_ms, started, zone, state });
         }
         Some(Entry {
             server,
--- a/tests/agreed.rs
+++ b/tests/agreed.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use group::{Group, PROMISE_MS};
+use member::votes::Stand;
 use member::Word;
 use peers::*;
 use serde_json::{json, Value};
@@ -274,3 +275,28 @@
     agreed(4, json!([]));
     until("it is back", serves);
 }
+
+/// Nothing of votes goes over the wire, and none is shown, unless the agreed policy has their figures.
+#[test]
+fn votes_go_with_beats_while_the_policy_has_them() {
+    let group = Group::new();
+    let (_registry, mut config) = member(&group);
+    config["control"]["zone"] = json!("east");
+    let node = Node::ready(&config);
+    let shown = || node.call("GET /metrics").1.contains("votes.");
+    assert!(!shown() && group.beats().iter().all(|beat| beat.votes.is_none() && beat.verdicts.is_none()));
+    group.change(json!({"Votes": {"Window": 60000}}));
+    until_served(&node, 1);
+    assert_eq!(ask(&node, "fails").0, 503);
+    until("it is for the removal of what fails", || {
+        let votes = group.beats().pop().and_then(|beat| beat.votes);
+        votes.is_some_and(|votes| {
+            assert_eq!((votes.zone.as_deref(), votes.up.as_slice()), (Some("east"), &[("a".into(), 1)][..]));
+            votes.ballots.iter().any(|b| b.server == "s0" && b.evidence.errors == 3 && b.stand == Stand::For)
+        })
+    });
+    assert!(shown() && figure(&node, "votes.removed") == 0);
+    group.change(json!({}));
+    until("its beats say nothing of it", || group.beats().last().is_some_and(|beat| beat.votes.is_none()));
+    assert!(!shown());
+}
