--- a/crates/stoneshift/tests/hard.rs
+++ b/crates/stoneshift/tests/hard.rs
@@ -1,5 +1,10 @@
 //! Changes of policy while links between single nodes and replicas fail: one-way cuts, a leader that was deposed and does
 //! not know it, an upgrade in the middle, messages that come late or twice.
+//!
+//! Seen to fail, each under throw-away edits: no stop in doubt (cut off once they have staged), no heed of the lease (the
+//! fenced fleet), answers without a confirm (the deposed leader), a commit without the silent (all that wait for an
+//! abort), the older process out at the newcomer's join (the upgrade), a word that counts for any change (late or twice),
+//! late news taken for the newest (beats).
 
 mod load;
 #[path = "../../../tests/peers/mod.rs"]
