--- a/src/balance.rs
+++ b/src/balance.rs
@@ -289,7 +289,7 @@
         self.limit = if returned.is_some() { f64::NAN } else { self.limit };
     }
 
-    /// Does it get nothing now, by what was seen of it?
+    /// Does it get nothing now?
     fn shut(&self) -> bool {
         self.ejected.is_some() || self.ruled == Some(false)
     }
@@ -320,7 +320,7 @@
         rules.cold_share + (1.0 - rules.cold_share) * age / rules.warm_within
     }
 
-    /// The part of its turns that it gets.
+    /// The part of its turns that it gets. Votes go by the whole server, as all classes share one rotation.
     fn part(&self, now: Millis, set: &Settings) -> f64 {
         let most = set.votes.as_ref().filter(|_| !self.trusted()).map_or(1.0, |v| v.trickle);
         self.warmth(now, &set.rules).min(most)
@@ -651,7 +651,7 @@
         if members != known {
             self.order = self.preference(&members);
         }
-        // Too few would be left: then the votes are likelier wrong than the servers bad.
+        // Where too few would be left, the votes are likelier wrong than the servers bad.
         let listed = self.servers.values().filter(|s| s.entry.state != Listed::Gone).count();
         let left = members.iter().filter(|id| !self.rulings.contains_key(id)).count();
         for (id, server) in &mut self.servers {
@@ -678,7 +678,6 @@
         }
     }
 
-    /// The servers of the subset.
     fn rotated(&self) -> impl Iterator<Item = &Server> + Clone {
         self.subset.iter().filter_map(|id| self.servers.get(id))
     }
@@ -759,8 +758,8 @@
             warm += if server.trusted() { server.warmth(self.now, &self.set.rules) } else { 0.0 };
             subset.push(server.entry.server);
         }
-        let probed = self.rulings.iter().filter(|(id, (probe, _))| *probe && self.order.contains(id));
-        subset.extend(probed.map(|(id, _)| *id));
+        let probed = self.rulings.iter().filter(|(_, (probe, _))| *probe).map(|(id, _)| *id);
+        subset.extend(probed.filter(|id| self.order.contains(id)));
         subset.sort_unstable();
         subset.dedup();
         for (_, server) in self.servers.iter_mut().filter(|(id, _)| subset.binary_search(id).is_err()) {
@@ -933,8 +932,6 @@
         }
     }
 
-    // ---- Requests ----
-
     fn on_request(&mut self, id: RequestId, mut request: Request, again: bool) {
         if self.requests.contains_key(&id) {
             // An id never comes twice; the first is still owed, and an answer would be to both.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -225,9 +225,19 @@
     attempts: Vec<(ServerId, u64, f64, Option<Outcome>)>,
 }
 
+/// Figures of votes for days of some seconds.
+pub fn votes() -> Votes {
+    let (window, aside, word) = (500.0, 50.0, 500.0);
+    Votes { window, attempts: 3, failed: 0.5, doubt: 0.4, aside, trickle: 0.1, word }
+}
+
 /// Watches what a node is told and does, and notes each breach of a rule.
 #[derive(Default)]
 pub struct Referee {
+    /// What the group has ruled (is it probed? of the process that runs?), when it was last heard, and whether votes are off.
+    ruled: BTreeMap<ServerId, (bool, bool)>,
+    heard: f64,
+    deaf: bool,
     requests: BTreeMap<RequestId, Held>,
     servers: BTreeMap<ServerId, (Entry, Option<f64>)>,
     warm_sends: Vec<(ServerId, f64)>,
@@ -247,6 +257,14 @@
                 self.listed(now, entries);
             }
             Event::ListChange(entries) => self.listed(now, entries),
+            Event::Verdicts(rulings) if !self.deaf => {
+                self.ruled = rulings.iter().map(|r| (r.server, (r.probe, true))).collect();
+                self.heard = now;
+            }
+            Event::Policy(new) => {
+                self.deaf = new.votes.is_none();
+                self.ruled.retain(|_, _| !self.deaf);
+            }
             Event::Request { id, class, deadline, .. } => {
                 let held = Held { class: *class, deadline: *deadline, over: false, attempts: Vec::new() };
                 self.requests.insert(*id, held);
@@ -271,12 +289,34 @@
         for entry in entries {
             let gone = (entry.state != Listed::Up).then_some(now);
             let known = self.servers.entry(entry.server).or_insert((entry.clone(), gone));
+            if known.0.started != entry.started {
+                self.ruled.entry(entry.server).and_modify(|(_, runs)| *runs = false);
+            }
             known.1 = if gone.is_some() { known.1.or(gone) } else { None };
             known.0 = entry.clone();
         }
     }
 
+    /// Is a server removed by votes, and is it probed? Not where too few would be left, nor without news.
+    fn removed(&self, settings: &Settings, now: f64, server: ServerId) -> Option<bool> {
+        let fresh = settings.votes.as_ref().is_some_and(|v| now - self.heard < v.word);
+        let listed = self.servers.values().filter(|(e, _)| e.state != Listed::Gone).count();
+        let up = self.servers.iter().filter(|(_, (e, _))| e.state == Listed::Up);
+        let left = up.filter(|(id, _)| !self.ruled.contains_key(id)).count();
+        let ruled = self.ruled.get(&server).filter(|(_, runs)| *runs && fresh && 2 * left >= listed);
+        ruled.map(|(probe, _)| *probe)
+    }
+
     pub fn did(&mut self, settings: &Settings, now: f64, action: &Action) {
+        if let Action::Send { id, server, .. } = action {
+            let held = self.requests.get(id);
+            let may = held.is_some_and(|h| h.attempts.is_empty() && h.class == SAFE);
+            match self.removed(settings, now, *server) {
+                Some(false) => self.breaches.push(format!("votes: {server:?} is removed")),
+                Some(true) if !may => self.breaches.push(format!("votes: {id:?} may not probe")),
+                _ => {}
+            }
+        }
         let mut note = |words: String| self.breaches.push(words);
         match action {
             Action::Send { id, server, .. } => {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -17,6 +17,8 @@
     Leave(usize),
     Wait(f64),
     Probe(usize, bool),
+    /// The group rules one server out, and may let another be probed.
+    Verdicts(usize, Option<usize>),
     /// New aims, as parts of those at first, then attempts, failures that eject, retries and a server's weight.
     Policy([f64; 3], usize, u32, f64, f64),
     /// Events about things that never were.
@@ -41,6 +43,7 @@
         1 => any::<prop::sample::Index>().prop_map(|i| Step::Leave(i.index(1000))),
         6 => (0.1..40.0).prop_map(Step::Wait),
         1 => (0..6usize, any::<bool>()).prop_map(|(s, up)| Step::Probe(s, up)),
+        1 => (0..6usize, prop::option::of(0..6usize)).prop_map(|(out, probe)| Step::Verdicts(out, probe)),
         1 => any::<u64>().prop_map(Step::Odd),
         1 => ([0.2..3.0, 0.2..3.0, 0.2..3.0], 1..6usize, 1..5u32, 0.0..10.0, 0.01..100.0)
             .prop_map(|(aims, attempts, fails, most, weight)| Step::Policy(aims, attempts, fails, most, weight)),
@@ -128,7 +131,7 @@
 }
 
 fn run(steps: &[Step], variant: Variant) -> Vec<String> {
-    let settings = settings();
+    let settings = Settings { votes: Some(votes()), ..settings() };
     let balancer = Balancer::new(settings.clone(), 7).expect("good settings");
     let (referee, out, open) = (Referee::default(), Vec::new(), Default::default());
     let mut day = Day { settings, balancer, referee, now: 50_000.0, out, open, variant };
@@ -172,8 +175,14 @@
                 let outcome = if *up { Outcome::Done } else { Outcome::ConnectFailed };
                 day.event(Event::Probed { server: ServerId(*server as u64), outcome, took: 1.0 });
             }
+            Step::Verdicts(out, probe) => {
+                let ruling = |(server, probe)| Ruling { server: ServerId(server as u64), probe };
+                let rulings = [Some((*out, false)), probe.map(|server| (server, true))];
+                day.event(Event::Verdicts(rulings.into_iter().flatten().map(ruling).collect()));
+            }
             Step::Policy(aims, attempts, failures, most, weight) => {
                 let mut new = common::settings();
+                new.votes = Some(votes()).filter(|_| *attempts != 5);
                 for (class, part) in new.classes.iter_mut().zip(aims) {
                     class.aim *= part;
                 }
@@ -279,6 +288,18 @@
     });
 }
 
+#[test]
+fn the_referee_catches_sends_to_removed_servers_and_probes_with_what_may_not() {
+    for words in ["votes: ServerId", "votes: RequestId"] {
+        caught(words, |a| match a {
+            Action::Send { id, timeout, .. } => {
+                Some(Action::Send { id: *id, server: ServerId(1), timeout: *timeout })
+            }
+            a => Some(a.clone()),
+        });
+    }
+}
+
 #[test]
 fn the_referee_catches_a_cold_server_pushed_over() {
     caught("rule 4", |a| match a {
--- a/tests/votes.rs
+++ b/tests/votes.rs
@@ -1,11 +1,11 @@
 //! Votes before a server is removed, at one node: rulings in, ballots out.
 
 mod common;
-use common::*;
+use common::{entry, sent_to, settings, Node, SAFE, UNSAFE};
 use tulipmount::*;
 
 fn votes() -> Votes {
-    Votes { window: 5_000.0, attempts: 3, failed: 0.5, doubt: 0.4, aside: 500.0, trickle: 0.1, word: 5_000.0 }
+    Votes { window: 5_000.0, aside: 500.0, word: 5_000.0, ..common::votes() }
 }
 
 /// A node that votes; the group has been heard.
