--- a/crates/lab/src/bin/scripted-replica.rs
+++ b/crates/lab/src/bin/scripted-replica.rs
@@ -1,7 +1,9 @@
 //! A control group of one that breaks a rule, told by the name that it is started under (`scripted-replica-forget` and
-//! so on), to see that the referee sees it. It keeps nothing on a disk and asks no node.
+//! so on), to see that the referee sees it. It keeps nothing on a disk and asks no node. As `gullible` it removes what
+//! any one member wants removed, for as long as that member says so, and as `accuse` a server that there is none of.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use member::votes::{Stand, Votes};
 use member::{Abort, Agreed, ChangeId, Ended, Policy};
 use serde::Deserialize;
 use serde_json::json;
@@ -28,6 +31,15 @@
 struct Replica {
     script: String,
     agreed: RefCell<(Agreed, Instant)>,
+    /// The servers that a member wants removed.
+    accused: RefCell<BTreeMap<String, f64>>,
+}
+
+/// What matters of a beat.
+#[derive(Deserialize)]
+struct Beat {
+    bye: bool,
+    votes: Votes,
 }
 
 #[derive(Deserialize)]
@@ -49,7 +61,8 @@
 async fn serve(script: String, listen: SocketAddr) -> Result<(), Failure> {
     let policy = Policy::default();
     let agreed = Agreed { version: 1, sum: 0, epoch: 0, policy, change: None, ended: Vec::new() };
-    let replica = Rc::new(Replica { script, agreed: RefCell::new((agreed, Instant::now())) });
+    let agreed = RefCell::new((agreed, Instant::now()));
+    let replica = Rc::new(Replica { script, agreed, accused: RefCell::default() });
     let listener = TcpListener::bind(listen).await?;
     loop {
         let (stream, _) = listener.accept().await?;
@@ -72,6 +85,19 @@
                 let body = request.into_body().collect().await?.to_bytes();
                 self.propose(serde_json::from_slice(&body)?)
             }
+            (&Method::GET, "/v1/verdicts") if self.script == "accuse" => {
+                (StatusCode::OK, json!({"version": 1, "removed": {"nobody": {}}}))
+            }
+            (&Method::GET, "/v1/verdicts") if self.script == "gullible" => {
+                let entry =
+                    |(server, born_ms): (&String, &f64)| (server.clone(), json!({"born_ms": born_ms}));
+                let removed: serde_json::Map<_, _> = self.accused.borrow().iter().map(entry).collect();
+                (StatusCode::OK, json!({"version": 1, "removed": removed}))
+            }
+            (&Method::POST, "/v1/session") => {
+                let body = request.into_body().collect().await?.to_bytes();
+                (StatusCode::OK, self.hear(serde_json::from_slice(&body)?)?)
+            }
             _ => (StatusCode::NOT_FOUND, json!({})),
         };
         let mut answer = Response::new(Full::new(Bytes::from(words.to_string())));
@@ -79,6 +105,13 @@
         Ok(answer)
     }
 
+    fn hear(&self, beat: Beat) -> Result<serde_json::Value, Failure> {
+        let against = beat.votes.ballots.into_iter().filter(|b| b.stand == Stand::For && !beat.bye);
+        *self.accused.borrow_mut() = against.map(|b| (b.server, b.born_ms)).collect();
+        let (stamp, told) = (json!({"term": 1, "at": 0}), json!({"news": self.agreed()}));
+        Ok(json!({"stamp": stamp, "told": told, "beat_ms": 100, "promise_ms": 300}))
+    }
+
     fn agreed(&self) -> Agreed {
         let (agreed, since) = &*self.agreed.borrow();
         let forgets = self.script == "forget" && since.elapsed() > KNOWS;
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -76,8 +76,15 @@
         ("wasted".into(), run.cost.wasted),
         ("failed late".into(), run.cost.failed_late),
         ("choked servers".into(), run.cost.overdriven),
+        ("failures paid".into(), run.cost.paid as f64),
+        ("failures elsewhere".into(), run.cost.failures as f64),
         ("breaches".into(), run.breaches as f64),
     ];
+    if let Some(votes) = &run.votes {
+        figures.push(("wrong removals".into(), votes.wrong as f64));
+        let times = [("removed after, ms", votes.remove_ms()), ("returned after, ms", votes.return_ms())];
+        figures.extend(times.into_iter().filter_map(|(name, ms)| Some((name.to_string(), ms?))));
+    }
     for class in &run.classes {
         figures.push((format!("{} served", class.name), class.served));
         figures.push((format!("{} p99 ms", class.name), class.took_ms.p99));
--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -120,6 +120,8 @@
     pub garbled: f64,
     /// Which way of a cut.
     pub way: Option<Way>,
+    /// The other zone of it; all others where there is none.
+    pub to: Option<usize>,
     /// The policy that is asked for.
     pub policy: serde_json::Map<String, serde_json::Value>,
     /// It strikes the replica that leads when it begins.
@@ -246,7 +248,8 @@
     }
 
     fn fault(&self, fault: &Fault, replicas: usize, rng: &mut Pcg64) -> FaultSpec {
-        let zone = fault.zone.as_ref().and_then(|z| self.zones.iter().position(|name| name == z));
+        let place = |zone: &Option<String>| self.zones.iter().position(|name| Some(name) == zone.as_ref());
+        let zone = place(&fault.zone);
         let parties: Vec<usize> = match fault.kind {
             kind if kind.of_nodes() => self.nodes.clone(),
             kind if kind.of_replicas() => vec![0; replicas],
@@ -280,11 +283,15 @@
             at: s(fault.at_s),
             until: s(fault.at_s + fault.for_s),
             targets,
-            factor: fault.factor.unwrap_or(1.0),
+            factor: fault.factor.unwrap_or(match fault.kind {
+                Trouble::Release | Trouble::Replace => 0.0,
+                _ => 1.0,
+            }),
             steps: fault.steps.unwrap_or(1).max(1),
             slower: ms(fault.slower_ms.unwrap_or(0.0)),
             garbled: fault.garbled.unwrap_or(0.0),
             way: fault.way,
+            to: place(&fault.to),
             policy: fault.policy.clone().unwrap_or_default(),
             leader: fault.which.is_some(),
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,9 +4,9 @@
 //! Need: what a fleet does through failures has to be measured here, with one verdict, and the same draw must be
 //! playable again. Shape: [`plan`] is the experiment's file, [`draw`] takes every figure and every first try from a
 //! seed, [`world`] is all parties round the nodes as one pure state machine in virtual time (with [`server`],
-//! [`listing`], [`referee`] and [`tally`] as its parts), and [`baseline`] plays the draw with plain policies in the
-//! nodes' place, for comparison. [`live`] carries the world on sockets round real nodes; [`result`] says what came of it,
-//! [`plot`] shows it, and [`compare`] sets two runs or sets of plays side by side.
+//! [`listing`], [`referee`], [`removals`] and [`tally`] as its parts), and [`baseline`] plays the draw with plain policies
+//! in the nodes' place, for comparison. [`live`] carries the world on sockets round real nodes; [`result`] says what came
+//! of it, [`plot`] shows it, and [`compare`] sets two runs or sets of plays side by side.
 //!
 //! Rejected: a thread or task for each emulated party with clocks of its own, as neither could be tested without
 //! waiting, nor played twice alike; and servers as processes, as two hundred of them take the cores from the nodes.
@@ -23,6 +23,7 @@
 pub mod plan;
 pub mod plot;
 pub mod referee;
+pub mod removals;
 pub mod result;
 pub mod server;
 pub mod settings;
--- a/crates/lab/src/live/group.rs
+++ b/crates/lab/src/live/group.rs
@@ -25,21 +25,24 @@
 use super::address::Addresses;
 use super::links::{Links, Party};
 use super::process::{self, spawn};
-use super::{LabError, Stage, GONE};
+use super::{liar, LabError, Stage, GONE};
 use crate::draw::FaultSpec;
 use crate::epochs::Outcome;
 use crate::plan::{Control, Start, Trouble};
+use crate::removals::Word;
 use crate::server::Us;
 use crate::world::Signal;
 
 /// How long a replica may take to answer a question.
-const PATIENCE: Duration = Duration::from_millis(500);
+pub(super) const PATIENCE: Duration = Duration::from_millis(500);
 /// How long an operator waits for the end of a change in one call.
 const PROPOSAL: Duration = Duration::from_secs(10);
 /// Between an operator's calls.
-const AGAIN: Duration = Duration::from_millis(50);
+pub(super) const AGAIN: Duration = Duration::from_millis(50);
 /// Between two tries at a write while the leader is struck.
 const PROBE: Duration = Duration::from_millis(20);
+/// Between two looks at what the group says of servers.
+const LOOK: Duration = Duration::from_millis(250);
 /// How long the group may take at the run's end until a majority tells what it has acknowledged.
 const CATCH_UP: Duration = Duration::from_secs(10);
 /// The largest answer that is read.
@@ -91,10 +94,10 @@
         })
     }
 
-    /// What a node's configuration says of the group.
-    pub fn node_config(&self, node: usize) -> Value {
+    /// What the configuration of a node in a zone says of the group.
+    pub fn node_config(&self, node: usize, zone: &str) -> Value {
         let replicas = self.numbers().map(|r| self.addresses.replica_for_node(node, r).to_string());
-        let mut config = json!({"replicas": replicas.collect::<Vec<_>>()});
+        let mut config = json!({"replicas": replicas.collect::<Vec<_>>(), "zone": zone});
         match self.control.start {
             Start::Wait => config["start"] = json!("wait"),
             Start::Saved => {
@@ -110,6 +113,11 @@
         0..self.replicas.len()
     }
 
+    /// Where replicas listen, past all cuts.
+    pub(super) fn all(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.numbers().map(|replica| self.at(replica))
+    }
+
     fn at(&self, replica: usize) -> SocketAddr {
         self.addresses.replica(replica)
     }
@@ -238,6 +246,14 @@
             let nodes: Vec<Party> = fault.targets.iter().copied().map(Party::Node).collect();
             return group.links.cut(number, &nodes, fault.way);
         }
+        Trouble::Liar => {
+            for liar in 0..fault.factor as usize {
+                let zone = draw.zones[liar % draw.zones.len()].clone();
+                let name = format!("liar-{number}-{liar}");
+                spawn_local(liar::lie(stage.clone(), fault.clone(), name, zone));
+            }
+            return;
+        }
         _ => {}
     }
     let leader = leader(group).await;
@@ -397,6 +413,23 @@
     newest
 }
 
+/// Looks at what the group says of servers until the play is over; the replica that knows most is believed.
+pub async fn watch_verdicts(stage: Rc<Stage>) {
+    let Some(group) = &stage.group else { return };
+    while !stage.closed.get() {
+        let mut newest: Option<Word> = None;
+        for replica in group.numbers().filter(|r| group.replicas[*r].id.get().is_some()) {
+            let told = call(group.at(replica), Method::GET, "/v1/verdicts", None, PATIENCE).await;
+            let word = told.and_then(|(_, told)| Word::read(&told));
+            newest = newest.into_iter().chain(word).max_by_key(|word| word.version);
+        }
+        if let Some(word) = newest {
+            stage.with(|world, now| world.group_says(now, word));
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// The epoch that a majority of the replicas knows at the run's end, once it is the acknowledged one or the time is
 /// up; `None` where no majority runs.
 pub async fn agreed_at_end(stage: &Rc<Stage>, acknowledged: Epoch) -> Option<Epoch> {
@@ -423,7 +456,7 @@
 }
 
 /// One call; its status and JSON, `None` where no whole answer came in time.
-async fn call(
+pub(super) async fn call(
     at: SocketAddr,
     method: Method,
     path: &str,
--- a/crates/lab/src/live/mod.rs
+++ b/crates/lab/src/live/mod.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod clients;
 mod group;
+mod liar;
 mod links;
 mod process;
 mod servers;
@@ -338,7 +339,10 @@
             serde_json::to_value(world.line(node, 0, world.version(node)))
         };
         let known = known.map_err(|e| LabError::start(node, e))?;
-        let control = self.group.as_ref().map(|group| group.node_config(node));
+        let control = self.group.as_ref().map(|group| {
+            let world = self.world();
+            group.node_config(node, &world.draw().zones[world.node_zone(node)])
+        });
         let process = self.launch.start(node, state.life.replace(state.life.get() + 1), known, control)?;
         state.id.set(Some(process.id()));
         let stage = self.clone();
@@ -444,6 +448,9 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         self.world.borrow_mut().begin_at(unix.as_secs_f64() * 1e3);
         self.start.set(Some(Instant::now()));
+        if self.world().votes_wanted() {
+            spawn_local(group::watch_verdicts(self.clone()));
+        }
         tokio::select! {
             played = self.drive() => played?,
             () = self.sample(options) => {}
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -20,6 +20,8 @@
 pub const SERVERS_MOST: usize = 400;
 /// The most silent connections to one node.
 pub const CROWD_MOST: f64 = 5000.0;
+/// The most liars of one fault.
+pub const LIARS_MOST: f64 = 16.0;
 /// The most replicas of a control group.
 pub const REPLICAS_MOST: usize = 7;
 /// The longest play, in seconds.
@@ -586,11 +588,12 @@
     Gray,
     /// The share `factor` of answers is lost with its connection.
     Reset,
-    /// App servers are drained, ended and started anew, in `steps` over `for_s`.
+    /// App servers are drained, ended and started anew, in `steps` over `for_s`. What they start as fails the share
+    /// `factor` of requests, until the next release.
     Release,
-    /// App servers are drained and others started in their place, in `steps` over `for_s`.
+    /// App servers are drained and others started in their place, in `steps` over `for_s`; with `factor` as a release.
     Replace,
-    /// Nothing passes between a zone and the others; connections stay up.
+    /// Nothing passes between a zone and the others, or the one that it is cut from; connections stay up.
     Cut,
     /// All connections between a zone and the others break, once.
     BreakLinks,
@@ -602,6 +605,8 @@
     StaleList,
     /// Each second line of the list overtakes the one before.
     ReorderedList,
+    /// The share `factor` of what nodes send to app servers is lost; of half of that the connection breaks.
+    Uplink,
     /// Load grows by `factor`.
     Burst,
     /// Operators ask for the `policy`; they go on asking for `for_s` while nobody says what became of it.
@@ -618,6 +623,8 @@
     CutControl,
     /// Nothing passes between replicas and all others, nodes too, both ways or one.
     CutReplica,
+    /// So many members as `factor` says, in the zones in turn, serve nothing and vote for the removal of app servers.
+    Liar,
 }
 
 impl Trouble {
@@ -628,12 +635,15 @@
 
     /// It strikes nodes.
     pub fn of_nodes(self) -> bool {
-        matches!(self, Self::Kill | Self::Restart | Self::Stop | Self::Crowd | Self::CutControl)
+        matches!(
+            self,
+            Self::Kill | Self::Restart | Self::Stop | Self::Crowd | Self::Uplink | Self::CutControl
+        )
     }
 
     /// It needs a control group.
     pub fn of_control(self) -> bool {
-        self.of_replicas() || matches!(self, Self::Policy | Self::GroupLost | Self::CutControl)
+        self.of_replicas() || matches!(self, Self::Policy | Self::GroupLost | Self::CutControl | Self::Liar)
     }
 }
 
@@ -668,6 +678,8 @@
     pub garbled: Option<f64>,
     /// Of a cut: only what goes `out` of the zone, or `in`to it; both where absent.
     pub way: Option<Way>,
+    /// The other zone of a cut, or of narrow links; all others where absent.
+    pub to: Option<String>,
     /// The policy that is asked for: settings' fields with their new values.
     pub policy: Option<serde_json::Map<String, serde_json::Value>>,
     /// The replica that leads when the fault begins, in place of `ids`.
@@ -726,6 +738,16 @@
     pub held: Option<f64>,
     /// The longest time for which nothing could be written after the leader was struck, at most.
     pub write_gap_ms: Option<f64>,
+    /// Servers that votes removed while something was wrong with them: so many at least.
+    pub removed: Option<f64>,
+    /// Removals by votes of servers that nothing was wrong with, at most.
+    pub wrong_removals: Option<f64>,
+    /// The longest time from when something was wrong with a server until votes removed it, at most.
+    pub remove_ms: Option<f64>,
+    /// The longest time from when a removed server was mended until it was back, at most.
+    pub return_ms: Option<f64>,
+    /// Attempts that failed at servers that something was wrong with, at most.
+    pub paid: Option<f64>,
 }
 
 /// Why a file can't be played: one line.
@@ -972,6 +994,14 @@
                 return fail("zone", format!("{zone} is not in fleet.zones"));
             }
         }
+        if let Some(to) = &fault.to {
+            if !matches!(fault.kind, Trouble::Cut | Trouble::Narrow) {
+                return fail("to", "only for cut and narrow".into());
+            }
+            if !fleet.zones.contains(to) || fault.zone.as_ref() == Some(to) {
+                return fail("to", format!("{to} is not another one of fleet.zones"));
+            }
+        }
         if fault.share.is_some_and(|s| !(s > 0.0 && s <= 1.0)) {
             return fail("share", "a share above 0 and up to 1 expected".into());
         }
@@ -1006,13 +1036,21 @@
             Trouble::Crowd if !fault.factor.is_some_and(|f| (1.0..=CROWD_MOST).contains(&f)) => {
                 fail("factor", format!("1 to {CROWD_MOST} connections expected"))
             }
+            Trouble::Liar
+                if !fault.factor.is_some_and(|f| f.fract() == 0.0 && (1.0..=LIARS_MOST).contains(&f)) =>
+            {
+                fail("factor", format!("a whole number of liars expected, 1 to {LIARS_MOST}"))
+            }
+            Trouble::Release | Trouble::Replace if fault.factor.is_some_and(|f| f > 1.0) => {
+                fail("factor", "a share from 0 to 1 expected".into())
+            }
             Trouble::StaleList if !fault.factor.is_some_and(|f| f >= 1.0 && f.fract() == 0.0) => {
                 fail("factor", "a whole number of versions expected, 1 at least".into())
             }
             Trouble::Slow | Trouble::Burst if !fault.factor.is_some_and(|f| f > 0.0 && f <= 1000.0) => {
                 fail("factor", "a figure above 0 expected".into())
             }
-            Trouble::Neighbour | Trouble::Errors | Trouble::Gray | Trouble::Reset
+            Trouble::Neighbour | Trouble::Errors | Trouble::Gray | Trouble::Reset | Trouble::Uplink
                 if !fault.factor.is_some_and(|f| (0.0..=1.0).contains(&f)) =>
             {
                 fail("factor", "a share from 0 to 1 expected".into())
@@ -1082,6 +1120,11 @@
         let of = |more: &str| words(&format!("[control]\n[[fault]]\nat_s = 1\n{more}"));
         assert!(of("kind = \"replica-kill\"\nids = [0]\n").contains("they count from 1 to 3"));
         assert!(of("kind = \"kill\"\nwhich = \"leader\"\n").contains("fault[0].which: kill: only for"));
+        assert!(
+            of("kind = \"liar\"\nfactor = 99\n").contains("fault[0].factor: liar: a whole number of liars")
+        );
+        assert!(of("kind = \"cut\"\nzone = \"maipu\"\nto = \"maipu\"\n")
+            .contains("fault[0].to: cut: maipu is not"));
         assert!(of("kind = \"policy\"\n").contains("fault[0].policy: policy: is missing"));
         assert!(Plan::read("x.toml", "schema = 2\nname = \"x\"\nlength_s = 1").is_err());
     }
--- a/crates/lab/src/result.rs
+++ b/crates/lab/src/result.rs
@@ -15,6 +15,7 @@
 use crate::live::Played;
 use crate::plan::{Plan, Trouble};
 use crate::referee::Breach;
+use crate::removals::VoteFigures;
 use crate::tally::Tally;
 use crate::world::World;
 
@@ -63,6 +64,9 @@
     /// What came of the changes of policy, where a control group agrees on them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub control: Option<ControlFigures>,
+    /// What came of votes on servers, where the group was heard of them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub votes: Option<VoteFigures>,
     /// How many rules were broken, and the first of them.
     pub breaches: usize,
     /// Their words.
@@ -187,6 +191,13 @@
     pub node_descriptors: u64,
     /// Answers that came later than their time and its slack, and within half a second.
     pub overdue: u64,
+    /// Attempts that failed, or were given up, at servers that something was wrong with. Connections that never came up
+    /// are not among them: the lab does not see those.
+    #[serde(default)]
+    pub paid: u64,
+    /// The same at servers that nothing was wrong with.
+    #[serde(default)]
+    pub failures: u64,
 }
 
 /// One second.
@@ -361,6 +372,8 @@
         node_memory_mb: held.0,
         node_descriptors: held.1,
         overdue: tally.overdue,
+        paid: tally.failures[0],
+        failures: tally.failures[1],
     }
 }
 
@@ -432,6 +445,7 @@
             server_load: tally.load.clone(),
             faults: faults.collect(),
             control: world.control(),
+            votes: world.votes(),
             breaches,
             broken,
             lab: LabFigures {
@@ -472,6 +486,7 @@
         let gap = control.and_then(|c| {
             c.write_gaps_ms.iter().copied().try_fold(0.0, |most, gap| gap.map(|gap| f64::max(most, gap)))
         });
+        let votes = self.votes.as_ref();
         let s = self.service;
         let recovered: Option<Vec<f64>> = self.faults.iter().map(|f| f.recover_s).collect();
         let recovered = recovered.map(|all| all.into_iter().fold(0.0, f64::max));
@@ -492,6 +507,11 @@
             most("mixed_ms", hold.mixed_ms, longest(|c| c.mixed_ms)),
             most("held", hold.held, control.map(|c| c.held)),
             most("write_gap_ms", hold.write_gap_ms, gap),
+            least("removed", hold.removed, votes.map_or(0.0, |v| v.removed as f64)),
+            most("wrong_removals", hold.wrong_removals, votes.map(|v| v.wrong as f64)),
+            most("remove_ms", hold.remove_ms, votes.and_then(VoteFigures::remove_ms)),
+            most("return_ms", hold.return_ms, votes.and_then(VoteFigures::return_ms)),
+            most("paid", hold.paid, Some(self.cost.paid as f64)),
         ];
         self.held = held.into_iter().flatten().collect();
         let held = self.breaches == 0 && self.held.iter().all(|h| h.held);
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -66,6 +66,8 @@
     pub overdue: u64,
     /// New connections that a node closed with no answer.
     pub closed: u64,
+    /// Attempts that failed or were given up at servers that something was wrong with, and at others.
+    pub failures: [u64; 2],
     /// Servers that were choked by crowding at some time.
     pub choked: std::collections::BTreeSet<usize>,
 }
--- a/crates/lab/src/world/attempts.rs
+++ b/crates/lab/src/world/attempts.rs
@@ -49,9 +49,18 @@
         self.tally.attempt(now, server, self.servers[server].spec.zone != zone);
         let attempt = self.attempts.len();
         let life = self.servers[server].life;
-        self.attempts.push(Attempt { of, place, server, life, zone, stage: Stage::OnWay, told });
+        let ails = self.removals.wrong(server, zone);
+        self.removals.sent(now, server, zone);
+        let stage = Stage::OnWay;
+        self.attempts.push(Attempt { of, place, server, life, zone, stage, told, ails, heard: false });
         let to = self.servers[server].spec.zone;
-        if self.passes(zone, to) && self.servers[server].power != Power::Dark {
+        let uplink = self.nodes[node].uplink;
+        if uplink > 0.0 && self.chance.random::<f64>() < uplink {
+            if self.chance.random() {
+                let back = now + self.jittered(self.draw.delays[zone][to]);
+                self.at(back, Ev::ReplyAtNode(attempt, Reply::Reset));
+            }
+        } else if self.passes(zone, to) && self.servers[server].power != Power::Dark {
             let trips = if fresh { 2.0 * self.draw.handshake_trips } else { 0.0 };
             let sent = now + (self.draw.delays[zone][to] as f64 * trips) as Us;
             let there = self.over_link(sent, zone, to, REQUEST_BYTES);
@@ -69,6 +78,12 @@
     pub fn attempt_closed(&mut self, now: Us, attempt: usize) {
         self.advance(now);
         let a = &self.attempts[attempt];
+        let ask = &self.tries[a.of];
+        // Neither its client called it off, nor an answer that came sooner from elsewhere.
+        if !a.heard && !ask.over && !ask.left && !ask.served {
+            self.failed(attempt);
+        }
+        let a = &self.attempts[attempt];
         if matches!(a.stage, Stage::Held | Stage::OnWay) {
             let delay = self.draw.delays[a.zone][self.servers[a.server].spec.zone];
             let there = now + self.jittered(delay);
@@ -76,6 +91,11 @@
         }
     }
 
+    /// An attempt failed, or was given up.
+    fn failed(&mut self, attempt: usize) {
+        self.tally.failures[usize::from(!self.attempts[attempt].ails)] += 1;
+    }
+
     /// When a message that is sent at a time is there: one after the other where the link is narrow.
     fn over_link(&mut self, at: Us, from: usize, to: usize, bytes: f64) -> Us {
         let link = &mut self.links[from][to];
@@ -100,7 +120,7 @@
         }
         self.settle(server);
         let place = &mut self.servers[server];
-        let fails = place.errors.max(place.spec.figures.error_rate);
+        let fails = place.errors.max(place.build).max(place.spec.figures.error_rate);
         if self.chance.random::<f64>() < fails {
             return self.answer(attempt, self.now, Reply::Error);
         }
@@ -225,9 +245,12 @@
         if self.servers[a.server].life != a.life {
             return;
         }
-        if reply == Reply::TurnedAway {
-            self.referee.never_ran(a.of, a.place);
+        match reply {
+            Reply::TurnedAway => self.referee.never_ran(a.of, a.place),
+            Reply::Served => self.tries[a.of].served = true,
+            Reply::Garbled | Reply::Error | Reply::Reset => self.failed(attempt),
         }
+        self.attempts[attempt].heard = true;
         self.out.push_back(Out::Reply { attempt, reply });
     }
 
@@ -249,19 +272,37 @@
     use super::*;
     use crate::plan::Plan;
 
-    /// How long an attempt takes from now on, and what it gets.
-    fn play(world: &mut World, attempt: usize) -> (Us, Reply) {
+    /// A world with little to do, at the moment at which a client's request reaches its node; the try.
+    fn begun(more: &str, from: Us) -> (World, usize) {
+        let text = format!("schema = 1\nname = \"x\"\nlength_s = 20\n[load]\nper_s = 0.5\n{more}");
+        let plan = Plan::read("x.toml", &text).expect("it can be played");
+        let dial = Rc::new(|server, _| SocketAddr::from(([127, 0, 0, 1], server as u16)));
+        let mut world = World::new(Rc::new(Draw::new(&plan, 4)), plan.rules, 0.0, dial);
+        loop {
+            let due = world.next_due().expect("a client comes");
+            world.advance(due);
+            while let Some(out) = world.take() {
+                match out {
+                    Out::Ask(ask) if due >= from => return (world, ask),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// How long an attempt takes from now on, and what it gets, where it gets anything within a second.
+    fn play(world: &mut World, attempt: usize) -> Option<(Us, Reply)> {
         let from = world.now();
-        while let Some(due) = world.next_due() {
+        while let Some(due) = world.next_due().filter(|due| *due < from + 1_000_000) {
             world.advance(due);
             while let Some(out) = world.take() {
                 match out {
-                    Out::Reply { attempt: a, reply } if a == attempt => return (due - from, reply),
+                    Out::Reply { attempt: a, reply } if a == attempt => return Some((due - from, reply)),
                     _ => {}
                 }
             }
         }
-        panic!("no reply")
+        None
     }
 
     #[test]
@@ -271,26 +312,61 @@
                 "[[class]]\nname = \"c\"\nshare = 1\nwork_ms = 200\ndist = \"exp\"\naim_ms = 5000\ndeadline_ms = 9000\n\
                 worth = 1\neffect = \"{effect}\"\nwindow_ms = 5000\n"
             );
-            let text = format!("schema = 1\nname = \"x\"\nlength_s = 20\n[load]\nper_s = 0.5\n{class}");
-            let plan = Plan::read("x.toml", &text).expect("it can be played");
-            let draw = Rc::new(Draw::new(&plan, 4));
-            let dial = Rc::new(|server, _| SocketAddr::from(([127, 0, 0, 1], server as u16)));
-            let mut world = World::new(draw, plan.rules, 0.0, dial);
-            let ask = loop {
-                let due = world.next_due().expect("a client comes");
-                world.advance(due);
-                if let Some(Out::Ask(ask)) = world.take() {
-                    break ask;
-                }
-            };
+            let (mut world, ask) = begun(&class, 0);
             let txn = world.txn(ask);
             let took = [0, 1].map(|server| {
                 let attempt = world.attempt(world.now(), server, 0, &txn, false).expect("a known request");
-                play(&mut world, attempt)
+                play(&mut world, attempt).expect("a reply")
             });
             assert_eq!(took.map(|t| t.1), [Reply::Served; 2]);
             assert!(took[0].0 > 20_000, "{effect}: {took:?}");
             assert_eq!(took[1].0 < 6_000, dropped, "{effect}: {took:?}");
         }
     }
+
+    #[test]
+    fn a_bad_uplink_loses_what_its_node_sends_and_no_server_is_to_blame() {
+        let (mut world, ask) = begun("[[fault]]\nkind = \"uplink\"\nat_s = 0\nfor_s = 20\nfactor = 1\n", 0);
+        let txn = world.txn(ask);
+        let mut got = Vec::new();
+        for _ in 0..20 {
+            let attempt = world.attempt(world.now(), 0, 0, &txn, false).expect("a known request");
+            got.push(play(&mut world, attempt).map(|(_, reply)| reply));
+        }
+        assert!(got.contains(&None) && got.contains(&Some(Reply::Reset)), "{got:?}");
+        assert!(got.iter().all(|g| matches!(g, None | Some(Reply::Reset))), "{got:?}");
+        assert_eq!(world.tally.failures[0], 0);
+    }
+
+    #[test]
+    fn a_bad_release_fails_until_the_next_one() {
+        let release = |at: u32, more: &str| {
+            format!("[[fault]]\nkind = \"release\"\nat_s = {at}\nfor_s = 1\nids = [0]\n{more}")
+        };
+        let plan = format!("[discovery]\nnotice_s = 0\n{}{}", release(1, "factor = 1\n"), release(9, ""));
+        for (from, reply, wrong) in [(6, Reply::Error, true), (14, Reply::Served, false)] {
+            let (mut world, ask) = begun(&plan, from * 1_000_000);
+            let txn = world.txn(ask);
+            let attempt = world.attempt(world.now(), 0, 0, &txn, false).expect("a known request");
+            assert_eq!(play(&mut world, attempt).map(|got| got.1), Some(reply), "{from} s");
+            assert_eq!((world.removals.wrong(0, 0), world.tally.failures[0]), (wrong, u64::from(wrong)));
+        }
+    }
+
+    #[test]
+    fn a_cut_from_one_zone_to_another_leaves_the_third_alone() {
+        let cut = "[fleet]\nzones = [\"a\", \"b\", \"c\"]\n[[fault]]\nkind = \"cut\"\nat_s = 0\nfor_s = 20\n\
+            zone = \"a\"\nto = \"b\"\nway = \"out\"\n";
+        let (mut world, ask) = begun(cut, 0);
+        let txn = world.txn(ask);
+        let of = |world: &World, zone| world.servers.iter().position(|s| s.spec.zone == zone).expect("one");
+        let servers = [0, 1, 2].map(|zone| of(&world, zone));
+        for (node, answered) in [(0, [true, false, true]), (1, [false, true, true]), (2, [true; 3])] {
+            for (server, answered) in servers.into_iter().zip(answered) {
+                let attempt = world.attempt(world.now(), server, node, &txn, false).expect("a known request");
+                assert_eq!(play(&mut world, attempt).is_some(), answered, "zone {node}, server {server}");
+                assert_eq!(world.removals.wrong(server, node), !answered);
+            }
+        }
+    }
 }
--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -49,6 +49,7 @@
             over: false,
             sent: false,
             left: false,
+            served: false,
         });
         self.referee.asked(node, class);
         self.tally.second(now).tries += 1;
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -40,6 +40,7 @@
             Trouble::Release | Trouble::Replace => {
                 let replace = fault.kind == Trouble::Replace;
                 for (k, server) in fault.targets.iter().enumerate() {
+                    self.servers[*server].next_build = fault.factor;
                     let listed = self.now + step(k) * pause + draw.list.notice;
                     self.at(listed, Ev::Drain(*server, replace));
                 }
@@ -50,6 +51,7 @@
             Trouble::ListOutage => self.silence(true),
             Trouble::StaleList => self.fall_behind(fault.factor as u64),
             Trouble::ReorderedList => self.reorder(true),
+            Trouble::Uplink => fault.targets.iter().for_each(|t| self.nodes[*t].uplink = fault.factor),
             // Drawn with the arrivals.
             Trouble::Burst => {}
             Trouble::Policy
@@ -58,8 +60,10 @@
             | Trouble::ReplicaRestart
             | Trouble::GroupLost
             | Trouble::CutControl
-            | Trouble::CutReplica => self.out.push_back(Out::Strike(n)),
+            | Trouble::CutReplica
+            | Trouble::Liar => self.out.push_back(Out::Strike(n)),
         }
+        self.look_over();
     }
 
     pub(super) fn finish(&mut self, n: usize) {
@@ -79,6 +83,7 @@
             Trouble::ListOutage => self.silence(false),
             Trouble::StaleList => self.fall_behind(0),
             Trouble::ReorderedList => self.reorder(false),
+            Trouble::Uplink => fault.targets.iter().for_each(|t| self.nodes[*t].uplink = 0.0),
             Trouble::Restart
             | Trouble::Crowd
             | Trouble::BreakLinks
@@ -91,8 +96,10 @@
             | Trouble::ReplicaRestart
             | Trouble::GroupLost
             | Trouble::CutControl
-            | Trouble::CutReplica => self.out.push_back(Out::Heal(n)),
+            | Trouble::CutReplica
+            | Trouble::Liar => self.out.push_back(Out::Heal(n)),
         }
+        self.look_over();
     }
 
     fn strain(&mut self, fault: &FaultSpec, on: bool) {
@@ -125,6 +132,7 @@
         }
         let taken = if on { fault.factor } else { 0.0 };
         self.burden(fault, |place| place.taken = taken);
+        self.look_over();
         let span = self.chance.random_range(NEIGHBOUR..5 * NEIGHBOUR);
         self.at((self.now + span).min(fault.until), Ev::Toggle(n, !on));
     }
@@ -139,7 +147,8 @@
     /// Changes the links between the fault's zones and the others, both ways or the one that it names.
     fn link(&mut self, fault: &FaultSpec, change: impl Fn(&mut Link)) {
         for zone in &fault.targets {
-            for other in (0..self.draw.zones.len()).filter(|z| z != zone) {
+            let others = (0..self.draw.zones.len()).filter(|z| z != zone);
+            for other in others.filter(|z| fault.to.is_none_or(|to| to == *z)) {
                 for (way, from, to) in [(Way::Out, *zone, other), (Way::In, other, *zone)] {
                     if fault.way.is_none_or(|w| w == way) {
                         change(&mut self.links[from][to]);
--- a/crates/lab/src/world/fleet.rs
+++ b/crates/lab/src/world/fleet.rs
@@ -108,6 +108,7 @@
         (place.power, place.due) = (Power::Off, None);
         self.out.push_back(Out::Drop { server, zone: None });
         self.reaches(server);
+        self.look_over();
     }
 
     /// A server starts, cold; the list has it a little later.
@@ -122,9 +123,11 @@
         place.model = Server::new(place.spec.figures.clone(), Some(now));
         place.model.burden(place.slower, place.taken);
         (place.power, place.born_ms, place.life, place.due) = (Power::Up, born_ms, place.life + 1, None);
+        place.build = place.next_build;
         let life = place.life;
         self.out.push_back(Out::Drop { server, zone: None });
         self.reaches(server);
+        self.look_over();
         self.at(now + self.draw.list.add, Ev::ListBack(server, life));
     }
 
@@ -147,6 +150,7 @@
         let next = if replace {
             let mut heir = Place::new(self.servers[server].spec.clone(), None, 0.0);
             heir.power = Power::Off;
+            heir.next_build = self.servers[server].next_build;
             self.servers.push(heir);
             self.at(self.now + self.draw.list.notice, Ev::ListGone(server, life));
             self.servers.len() - 1
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -16,6 +16,7 @@
 mod figures;
 mod fleet;
 mod list;
+mod votes;
 
 pub use self::figures::FleetState;
 
@@ -34,6 +35,7 @@
 use crate::listing::{Entry, List};
 use crate::plan::{Effect, Rules, Trouble, Way};
 use crate::referee::{About, Breach, Referee, Rule};
+use crate::removals::Removals;
 use crate::server::{Arrived, ColdUse, Server, Us};
 use crate::tally::{End, Tally};
 
@@ -283,6 +285,9 @@
     slower: f64,
     taken: f64,
     errors: f64,
+    /// The share of requests that its release fails, and that the next one will.
+    build: f64,
+    next_build: f64,
     resets: f64,
     /// The share of late answers, how late, and the share that breaks off.
     gray: (f64, Us, f64),
@@ -302,6 +307,8 @@
     away: Vec<(Us, Us)>,
     /// The version that its agent has.
     version: u64,
+    /// The share of what it sends to servers that is lost.
+    uplink: f64,
     /// The newest line waits to be overtaken; it brings the node on from this version.
     overtaken: Option<u64>,
 }
@@ -331,6 +338,8 @@
     sent: bool,
     /// Its client has closed the connection.
     left: bool,
+    /// A server has served it.
+    served: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -350,6 +359,10 @@
     zone: usize,
     stage: Stage,
     told: bool,
+    /// Something was wrong with the server when it was sent.
+    ails: bool,
+    /// What it got has reached its node.
+    heard: bool,
 }
 
 /// One way from a zone to another.
@@ -395,6 +408,7 @@
     /// What servers' former lives were sent while cold.
     cold_before: Vec<ColdUse>,
     epochs: Option<Epochs>,
+    removals: Removals,
 }
 
 impl World {
@@ -411,6 +425,7 @@
             restart: false,
             away: Vec::new(),
             version: 1,
+            uplink: 0.0,
             overtaken: None,
         });
         let zones = draw.zones.len();
@@ -437,6 +452,7 @@
             tally: Tally::new(draw.classes.len()),
             cold_before: Vec::new(),
             epochs: None,
+            removals: Removals::new(votes::grace(&draw), &draw.zones),
             servers,
             draw,
         };
@@ -550,6 +566,8 @@
             slower: 1.0,
             taken: 0.0,
             errors: 0.0,
+            build: 0.0,
+            next_build: 0.0,
             resets: 0.0,
             gray: (0.0, 0, 0.0),
         }
--- a/crates/lab/tests/referee.rs
+++ b/crates/lab/tests/referee.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use lab::baseline::{self, Policy};
 use lab::draw::Draw;
 use lab::epochs::{ControlFigures, Outcome};
-use lab::live::{self, Options};
+use lab::live::{self, Options, Played};
 use lab::plan::Plan;
 use lab::referee::{Breach, Rule};
+use lab::result::RunResult;
 use lab::world::World;
 
 /// Two nodes and six servers, lightly loaded, with a class that may not run twice; times for busy cores.
@@ -26,15 +28,15 @@
     script: &str,
     replica: &str,
     more: &str,
-    see: impl Fn(&World) -> T,
+    see: impl Fn(World) -> T,
     fits: impl Fn(&T) -> bool,
 ) -> T {
     let begun = Instant::now();
     loop {
         let world = play(script, replica, more);
-        let seen = see(&world);
         let late =
             world.lateness().iter().filter(|late| **late > 5000).count() * 100 > world.lateness().len();
+        let seen = see(world);
         if fits(&seen) || !late || begun.elapsed() > PATIENCE {
             return seen;
         }
@@ -42,8 +44,8 @@
 }
 
 /// The rules that nodes break.
-fn rules(world: &World) -> BTreeSet<Rule> {
-    let breaches = breaches(world);
+fn rules(world: World) -> BTreeSet<Rule> {
+    let breaches = breaches(&world);
     for breach in &breaches {
         assert!(breach.node.is_some() || breach.server.is_some(), "{breach}");
     }
@@ -160,14 +162,14 @@
 
 /// Nodes and a group break this rule with their scripts, and no other.
 fn breaks_agreed(node: &str, replica: &str, promise_ms: u64, broken: Rule) {
-    let rules = |world: &World| breaches(world).iter().map(|b| b.rule).collect::<BTreeSet<_>>();
+    let rules = |world: World| breaches(&world).iter().map(|b| b.rule).collect::<BTreeSet<_>>();
     let broken = BTreeSet::from([broken]);
     assert_eq!(seen(node, replica, &asked(promise_ms), rules, |rules| *rules == broken), broken);
 }
 
 #[test]
 fn fair_nodes_under_an_agreed_policy_break_none() {
-    let see = |world: &World| (breaches(world), world.control().expect("a group"));
+    let see = |world: World| (breaches(&world), world.control().expect("a group"));
     let fits = |(breaches, control): &(Vec<Breach>, ControlFigures)| {
         let change = &control.changes[0];
         breaches.is_empty()
@@ -198,3 +200,45 @@
 fn backward_by_nodes_that_go_to_and_fro() {
     breaks_agreed("back", "fair", 60_000, Rule::Backward);
 }
+
+/// With a replica's script and a policy that lets nodes vote, just these holds fail, and just these removals are seen:
+/// whether they were wrong.
+fn fails<const N: usize, const M: usize>(replica: &str, more: &str, holds: [&str; N], removals: [bool; M]) {
+    let more = format!(
+        "[control]\nreplicas = 1\n[control.terms]\npromise_ms = 300\n\
+        [[fault]]\nkind = \"policy\"\nat_s = 0\nfor_s = 1\npolicy = {{ Votes = {{ Window = 1000, Ballot = 1000 }} }}\n{more}"
+    );
+    let see = |world: World| {
+        let plan = Plan::read("x.toml", &format!("{FLEET}{more}")).expect("it was played");
+        let [random, oracle] =
+            [Policy::Random, Policy::Oracle].map(|policy| baseline::play(world.draw(), &plan.rules, policy));
+        let played = Played { world, interrupted: false, held: (0.0, 0), busy: 0.0 };
+        let result = RunResult::new(&plan, &played, &random, &oracle);
+        let failed: Vec<String> = result.held.into_iter().filter(|h| !h.held).map(|h| h.key).collect();
+        let mut wrong: Vec<bool> = result.votes.iter().flat_map(|v| &v.removals).map(|r| r.wrong).collect();
+        wrong.sort_unstable();
+        (failed, wrong)
+    };
+    let expected = (holds.map(String::from).to_vec(), removals.to_vec());
+    assert_eq!(seen("fair", replica, &more, see, |seen| *seen == expected), expected);
+}
+
+#[test]
+fn a_removal_of_a_server_with_nothing_wrong_does_not_hold() {
+    let hold = "[hold]\nwrong_removals = 0\nremoved = 1\nremove_ms = 9000\n";
+    fails("accuse", hold, ["removed", "wrong_removals", "remove_ms"], [true]);
+}
+
+#[test]
+fn a_group_that_says_nothing_of_servers_does_not_hold() {
+    let hold = "[hold]\nwrong_removals = 0\nreturn_ms = 9000\n";
+    fails("fair", hold, ["wrong_removals", "return_ms"], []);
+}
+
+#[test]
+fn a_liar_has_a_gullible_group_remove_what_it_names_until_it_leaves() {
+    let more = "[[fault]]\nkind = \"errors\"\nat_s = 0.5\nfor_s = 2\nids = [2]\nfactor = 1\n\
+        [[fault]]\nkind = \"liar\"\nat_s = 0.7\nfor_s = 2.6\nids = [2, 4]\nfactor = 1\n\
+        [hold]\nwrong_removals = 1\nremoved = 1\nremove_ms = 9000\nreturn_ms = 9000\npaid = 0\n";
+    fails("gullible", more, ["paid"], [false, true]);
+}
--- a/crates/stoneshift/src/table.rs
+++ b/crates/stoneshift/src/table.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 
 use lab::epochs::{ControlFigures, Outcome};
+use lab::removals::VoteFigures;
 use lab::result::{RunResult, Service};
 
 /// Breaches that are shown in words.
@@ -77,6 +78,7 @@
         "a node held {:.1} MiB and {} descriptors at most; {} answers overdue",
         c.node_memory_mb, c.node_descriptors, c.overdue
     )?;
+    writeln!(out, "attempts failed at servers with something wrong: {}, at others: {}", c.paid, c.failures)?;
     for fault in &r.faults {
         let back =
             fault.recover_s.map_or("not back before the end".to_string(), |s| format!("back after {s:.0} s"));
@@ -89,6 +91,9 @@
     if let Some(control) = &r.control {
         control_lines(out, control)?;
     }
+    if let Some(votes) = &r.votes {
+        vote_lines(out, votes)?;
+    }
     let l = &r.lab;
     writeln!(
         out,
@@ -109,8 +114,28 @@
     writeln!(out, "verdict: {}", r.verdict)
 }
 
+fn ms(ms: Option<f64>) -> String {
+    ms.map_or("unknown".to_string(), |ms| format!("{ms:.0} ms"))
+}
+
+fn vote_lines(out: &mut String, v: &VoteFigures) -> std::fmt::Result {
+    writeln!(
+        out,
+        "votes: of {} servers with something wrong {} removed, after {} at most, back after {} at most",
+        v.bad,
+        v.removed,
+        ms(v.remove_ms()),
+        ms(v.return_ms())
+    )?;
+    writeln!(out, "wrong removals: {}; attempts at removed servers: {}", v.wrong, v.late)?;
+    for r in v.removals.iter().filter(|r| r.wrong).take(SHOWN) {
+        let zones = if r.zones.is_empty() { "all zones".to_string() } else { r.zones.join(", ") };
+        writeln!(out, "wrongly removed at {:.1} s for {zones}: {}", r.at_s, r.server)?;
+    }
+    Ok(())
+}
+
 fn control_lines(out: &mut String, c: &ControlFigures) -> std::fmt::Result {
-    let ms = |ms: Option<f64>| ms.map_or("unknown".to_string(), |ms| format!("{ms:.0} ms"));
     for change in &c.changes {
         let outcome = match &change.outcome {
             Outcome::Committed(epoch) => format!("committed as epoch {epoch}"),
