--- a/crates/stoneshift/src/model.rs
+++ b/crates/stoneshift/src/model.rs
@@ -8,7 +8,7 @@
 use lab::draw::Draw;
 use lab::live::Played;
 use lab::modules::{self, Look, Watcher};
-use lab::plan::Plan;
+use lab::plan::{Plan, Trouble};
 use lab::plot;
 use lab::result::{Ends, RunResult, Verdict};
 use lab::tally::Second;
@@ -28,6 +28,9 @@
     /// How many draws, from that seed on.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
     draws: u64,
+    /// Leaves out the faults of a kind, such as policy, to compare with; may be given again.
+    #[arg(long, value_name = "KIND", value_parser = crate::run::kind)]
+    without: Vec<Trouble>,
     /// Nodes, in place of the file's.
     #[arg(long, value_parser = clap::value_parser!(u32).range(1..=1000))]
     nodes: Option<u32>,
@@ -45,7 +48,7 @@
     /// # Errors
     /// Why it could not be played.
     pub fn play(self) -> Result<bool, Failure> {
-        let mut plan = Plan::load(&self.file)?;
+        let mut plan = Plan::load(&self.file)?.without(&self.without);
         if let Some(nodes) = self.nodes {
             plan.fleet.get_mut().nodes = lab::plan::Range::Fixed(f64::from(nodes));
         }
--- a/crates/stoneshift/src/run.rs
+++ b/crates/stoneshift/src/run.rs
@@ -87,7 +87,7 @@
 }
 
 /// A fault's kind, as experiments' files word it.
-fn kind(word: &str) -> Result<Trouble, serde::de::value::Error> {
+pub fn kind(word: &str) -> Result<Trouble, serde::de::value::Error> {
     use serde::de::IntoDeserializer;
     serde::Deserialize::deserialize(word.into_deserializer())
 }
