Play votes on servers in the virtual clock, by the group's own machine and tally

Need: on busy cores real plays do not count, and what votes do to a fleet has to be told apart from chance, alike each time.

Where a policy of the plan has `Votes`, `lab model` plays the group's part: the agreement and the tally themselves, as one replica whose log takes no time; nodes beat each 250 ms in turn, hear verdicts as by a watch, and their modules cast the ballots. `policy`, `group-lost` and `liar` take hold there; other faults of the group do not. All other plans are played as before.

--- a/crates/lab/src/modules/mod.rs
+++ b/crates/lab/src/modules/mod.rs
@@ -9,19 +9,24 @@
 //! simpler model of a fleet, as it would have to be held against this one.
 
 mod node;
+mod votes;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use member::votes::{Stand, Verdicts, Votes, BALLOTS_MOST};
+use member::{Policy, Process, Stamp};
 use serde_json::Value;
 use tulipmount::{Outcome, RequestId, Status};
 
 use self::node::{Node, Want};
+use self::votes::{Group, BEAT};
 use crate::draw::Draw;
+use crate::epochs::Outcome as Agreed;
 use crate::error::ModelError;
-use crate::plan::Plan;
+use crate::plan::{Plan, Trouble};
 use crate::server::Us;
 use crate::settings::{own, seed, settings};
 use crate::world::{Got, Out, Reach, Reply, Signal, World};
@@ -46,6 +51,8 @@
     TimeOut(RequestId, usize),
     /// Kept connections are looked at.
     Look,
+    /// It speaks to the control group.
+    Beat,
     /// The watch is begun anew.
     Watch,
     /// An older list has stayed for long.
@@ -69,6 +76,18 @@
     due: BinaryHeap<Reverse<(Us, usize, u32, Wake)>>,
     /// Where each attempt at a server comes from: node, its life, request, attempt.
     origins: Vec<(usize, u32, RequestId, usize)>,
+    /// The control group, where a policy lets nodes vote.
+    group: Option<Group>,
+    liars: Vec<Liar>,
+}
+
+/// A member that lies of servers.
+struct Liar {
+    fault: usize,
+    process: Process,
+    zone: String,
+    spoke: Us,
+    stamp: Option<Stamp>,
 }
 
 /// What a look at the fleet shows; see [`play`].
@@ -110,7 +129,15 @@
         stopped: BTreeMap::new(),
         due: BinaryHeap::new(),
         origins: Vec::new(),
+        group: None,
+        liars: Vec::new(),
     };
+    if fleet.world.votes_wanted() {
+        let mut group = Group::default();
+        group.come(0);
+        fleet.group = Some(group);
+        fleet.world.expect_epochs(0);
+    }
     for node in 0..nodes {
         fleet.start(node)?;
         fleet.ready(node);
@@ -119,6 +146,11 @@
     Ok(fleet.world)
 }
 
+/// A node's process, in one of its lives.
+fn process(node: usize, life: u32) -> Process {
+    Process { name: format!("n{node}"), boot: life.into() }
+}
+
 impl Fleet {
     fn run(&mut self, mut look: Option<Watcher<'_>>) -> Result<(), ModelError> {
         let mut shown = 0;
@@ -243,8 +275,9 @@
                 self.start(node)?;
                 self.at(node, self.now + STARTS, Wake::Ready);
             }
-            // The modules keep the settings that they were started with.
-            Out::Reach { .. } | Out::Crowd { .. } | Out::Strike(_) | Out::Heal(_) => {}
+            Out::Strike(fault) => self.strike(fault)?,
+            Out::Heal(fault) => self.heal(fault),
+            Out::Reach { .. } | Out::Crowd { .. } => {}
         }
         Ok(())
     }
@@ -268,6 +301,10 @@
                     self.at(node, self.now + LOOK, Wake::Look);
                 }
             }
+            Wake::Beat => {
+                self.beat(node);
+                self.at(node, self.now + BEAT, Wake::Beat);
+            }
             Wake::Watch => {
                 let version = self.world.version(node);
                 if let Some(n) = &mut self.nodes[node] {
@@ -323,6 +360,12 @@
         }
         self.world.told(self.now, node, version);
         self.at(node, self.now + LOOK, Wake::Look);
+        if let Some(group) = &mut self.group {
+            group.join(process(node, self.lives[node]));
+            // Nodes speak in turn.
+            let own = BEAT * (node as Us + 1) / self.nodes.len() as Us;
+            self.at(node, self.now + own, Wake::Beat);
+        }
     }
 
     fn end(&mut self, node: usize) {
@@ -341,6 +384,98 @@
         }
     }
 
+    // ---- The control group ----
+
+    /// The group's part in a fault begins. Where no policy lets nodes vote, there is no group, and the modules keep the
+    /// settings that they were started with.
+    fn strike(&mut self, n: usize) -> Result<(), ModelError> {
+        let draw = self.world.draw().clone();
+        let (fault, now) = (&draw.faults[n], self.now);
+        let Some(group) = &mut self.group else { return Ok(()) };
+        match fault.kind {
+            Trouble::Policy => {
+                let wish = self.world.policy_proposed(now);
+                let Some(epoch) = group.agree(Policy(fault.policy.clone())) else { return Ok(()) };
+                self.world.policy_ended(now, wish, Agreed::Committed(epoch));
+                for (field, value) in &fault.policy {
+                    self.settings[field] = value.clone();
+                }
+                for node in 0..self.nodes.len() {
+                    let settings = own(&self.settings, &draw, node);
+                    let Some(n) = &mut self.nodes[node] else { continue };
+                    let wants = n.agreed(now, &settings)?;
+                    self.want(node, wants);
+                }
+            }
+            Trouble::GroupLost => group.go(),
+            Trouble::Liar => {
+                for liar in 0..fault.factor as usize {
+                    let process = Process { name: format!("liar-{n}-{liar}"), boot: 1 };
+                    group.join(process.clone());
+                    let zone = draw.zones[liar % draw.zones.len()].clone();
+                    self.liars.push(Liar { fault: n, process, zone, spoke: now, stamp: None });
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// It ends.
+    fn heal(&mut self, n: usize) {
+        let Some(group) = &mut self.group else { return };
+        if self.world.draw().faults[n].kind == Trouble::GroupLost {
+            group.come(self.now);
+        }
+        for liar in self.liars.extract_if(.., |liar| liar.fault == n) {
+            group.leave(liar.process.name);
+        }
+    }
+
+    /// A node says what it holds of servers, and hears the group's word; so do liars whose time it is.
+    fn beat(&mut self, node: usize) {
+        let draw = self.world.draw().clone();
+        let (Some(group), Some(n)) = (&mut self.group, &mut self.nodes[node]) else { return };
+        let before = group.told();
+        for liar in self.liars.iter_mut().filter(|liar| liar.spoke + BEAT <= self.now) {
+            let (up, ballots) = self.world.lies(&draw.faults[liar.fault].targets);
+            let votes = Votes { zone: Some(liar.zone.clone()), up, doubts: false, ballots };
+            let answer = group.beat(self.now, liar.process.clone(), liar.stamp, votes);
+            (liar.spoke, liar.stamp) = (self.now, answer.map(|(stamp, _)| stamp));
+        }
+        let (own, servers) = n.ballots();
+        let asked = n.answer.as_ref().map_or(&[][..], |(_, asked)| asked);
+        let ballots = own.ballots.into_iter().filter_map(|own| {
+            let ballot = self.world.ballot(*servers.get(&own.server)?, own.stand, own.evidence)?;
+            (ballot.stand == Stand::For || asked.contains(&ballot.server)).then_some(ballot)
+        });
+        let mut ballots: Vec<_> = ballots.collect();
+        ballots.sort_by_key(|ballot| (ballot.stand, std::cmp::Reverse(ballot.evidence.failed())));
+        ballots.truncate(BALLOTS_MOST);
+        let zone = Some(draw.zones[self.world.node_zone(node)].clone());
+        let votes = Votes { zone, up: self.world.up(), doubts: own.doubts, ballots };
+        let echo = n.answer.as_ref().map(|(stamp, _)| *stamp);
+        let Some(answer) = group.beat(self.now, process(node, self.lives[node]), echo, votes) else { return };
+        n.answer = Some(answer);
+        let Some(told) = group.told() else { return };
+        // The watch tells all nodes what is new, the answer this one that it still is so.
+        let new = before.is_none_or(|before| before.version != told.version);
+        self.world.group_says(self.now, votes::word(told.clone()));
+        for node in (0..self.nodes.len()).filter(|n| *n == node || new) {
+            self.rule(node, &told);
+        }
+    }
+
+    fn rule(&mut self, node: usize, told: &Verdicts) {
+        let zone = &self.world.draw().zones[self.world.node_zone(node)];
+        let Some(n) = self.nodes[node].as_mut().filter(|_| !self.stopped.contains_key(&node)) else { return };
+        let name = format!("n{node}");
+        let here = told.verdicts.iter().filter(|v| v.zones.is_empty() || v.zones.contains(zone));
+        let here = here.filter(|v| self.world.born_ms(&v.server) == Some(v.born_ms));
+        let wants = n.ruled(self.now, here.map(|v| (v.server.as_str(), v.probers.contains(&name))));
+        self.want(node, wants);
+    }
+
     // ---- What nodes do ----
 
     fn want(&mut self, node: usize, wants: Vec<Want>) {
@@ -487,6 +622,21 @@
         assert!(served > 0.8, "{served}");
     }
 
+    /// A server fails for a while, and a member lies of all of them, where nodes vote.
+    const VOTES: &str = "[control]\n[load]\nof_capacity = 0.4\n\
+        [[fault]]\nkind = \"policy\"\nat_s = 1\nfor_s = 1\npolicy = { Votes = {} }\n\
+        [[fault]]\nkind = \"errors\"\nat_s = 4\nfor_s = 5\nids = [3]\nfactor = 0.8\n\
+        [[fault]]\nkind = \"liar\"\nat_s = 2\nfor_s = 20\nfactor = 1\n";
+
+    #[test]
+    fn a_server_that_fails_is_removed_by_votes_and_back_once_it_is_mended() {
+        let votes = played(VOTES).votes().expect("a group");
+        let first = &votes.removals[0];
+        assert_eq!((votes.removed, votes.wrong, votes.late), (1, 0, 0), "{votes:?}");
+        assert!(first.remove_ms < Some(4_000.0) && first.mended && first.return_ms.is_some(), "{votes:?}");
+        assert!(played("").votes().is_none());
+    }
+
     /// What an older list tells to be up again stays drained.
     #[test]
     fn a_list_that_falls_behind_brings_no_server_back() {
--- a/crates/lab/src/modules/node.rs
+++ b/crates/lab/src/modules/node.rs
@@ -3,9 +3,12 @@
 use std::collections::BTreeMap;
 
 use endpoints::{Book, Health, Update};
+use member::Stamp;
 use serde_json::Value;
 use tulipmount::wire::{told, Told};
-use tulipmount::{Action, Balancer, Entry, Event, Listed, Outcome, RequestId, ServerId, Status};
+use tulipmount::{
+    Action, Balancer, Ballots, Entry, Event, Listed, Outcome, RequestId, Ruling, ServerId, Status,
+};
 
 use crate::draw::ms;
 use crate::error::ModelError;
@@ -78,6 +81,8 @@
     /// Kept connections by server, each with its life and since when it has been idle.
     idle: BTreeMap<usize, Vec<(u32, Us)>>,
     servers: BTreeMap<ServerId, usize>,
+    /// The newest answer of the control group: its stamp, and the servers that it asks about.
+    pub answer: Option<(Stamp, Vec<String>)>,
     zones: Vec<String>,
     book: Book,
     /// The calls for the list that were begun.
@@ -111,6 +116,7 @@
             requests: BTreeMap::new(),
             idle: BTreeMap::new(),
             servers: BTreeMap::new(),
+            answer: None,
             zones: zones.to_vec(),
             book: Book::new(None),
             calls: 0,
@@ -310,6 +316,29 @@
         wants
     }
 
+    // ---- The control group ----
+
+    /// What it holds of its servers, by their numbers.
+    pub fn ballots(&self) -> (Ballots, &BTreeMap<ServerId, usize>) {
+        (self.balancer.ballots(), &self.servers)
+    }
+
+    /// An agreed policy takes hold.
+    ///
+    /// # Errors
+    /// Where the settings are refused.
+    pub fn agreed(&mut self, now: Us, settings: &Value) -> Result<Vec<Want>, ModelError> {
+        self.told = told(settings).map_err(|e| ModelError::Settings(e.to_string()))?;
+        let settings = self.told.settings.clone();
+        Ok(self.feed(now, Event::Policy(Box::new(settings))))
+    }
+
+    /// The group's word: servers that are removed for this node, and whether it probes them.
+    pub fn ruled<'a>(&mut self, now: Us, of: impl Iterator<Item = (&'a str, bool)>) -> Vec<Want> {
+        let rulings = of.map(|(name, probe)| Ruling { server: number(name), probe }).collect();
+        self.feed(now, Event::Verdicts(rulings))
+    }
+
     // ---- Connections ----
 
     fn keeps(&self) -> Us {
