--- a/crates/control/src/tally/poll.rs
+++ b/crates/control/src/tally/poll.rs
@@ -37,6 +37,7 @@
 
 /// A member that was heard of late: it may have to be waited for.
 struct Member<'a> {
+    name: &'a str,
     /// Its zone; `None` where it may be of any.
     zone: Option<Option<&'a str>>,
     echo: Option<Millis>,
@@ -70,7 +71,7 @@
         began: Millis,
         figures: &'a Figures,
         voters: &'a BTreeMap<String, Voter>,
-        roster: &Roster,
+        roster: &'a Roster,
     ) -> Self {
         let mut standing = BTreeMap::new();
         let mut voices: BTreeMap<&str, Vec<Voice>> = BTreeMap::new();
@@ -98,7 +99,7 @@
             let until = voter.map_or(began, |voter| voter.heard) + figures.ballot;
             if now < until {
                 let zone = voter.map(|voter| voter.zone.as_deref());
-                members.push(Member { zone, echo: voter.and_then(|voter| voter.echo) });
+                members.push(Member { name: &process.name, zone, echo: voter.and_then(|voter| voter.echo) });
             }
         }
         let up = told.into_iter().map(|(zone, mut told)| (zone, median(&mut told))).collect();
@@ -129,9 +130,12 @@
     /// Counts ballots about one process of a server that was asked about since `asked`, in one zone or in all.
     pub fn count(&self, voices: &[Voice], asked: Millis, zone: Option<&str>) -> Count {
         let lid = self.lid(voices);
+        let spoken: BTreeSet<&str> = voices.iter().map(|voice| voice.name).collect();
         let silent = self.members.iter().filter(|member| {
             let may = zone.is_none() || member.zone.is_none_or(|its| its == zone);
-            may && member.echo.is_none_or(|echo| echo <= asked) && self.now < asked + self.figures.ballot
+            may && !spoken.contains(member.name)
+                && member.echo.is_none_or(|echo| echo <= asked)
+                && self.now < asked + self.figures.ballot
         });
         let waited = lid.saturating_mul(silent.count() as u32);
         let zones = |favour: bool| {
--- /dev/null
+++ b/crates/control/tests/votes.rs
@@ -0,0 +1,124 @@
+//! What the log makes of verdicts, and the rules of the tally that need no other order of events than the one here.
+
+use consensus::Machine as _;
+use control::command::{Command, Outcome, PolicyCommand, RosterCommand, VerdictCommand};
+use control::machine::Agreement;
+use control::tally::{Input, Tally, ASKED_MOST};
+use control::verdicts::{Case, Why};
+use member::votes::{Ballot, Evidence, Stand, Votes, BALLOTS_MOST};
+use member::{ChangeId, Millis, Policy, Process, Stamp};
+
+/// A tally on a log of one; nodes' beats come in order, and are answered at once.
+struct Desk {
+    log: Agreement,
+    tally: Tally,
+}
+
+impl Desk {
+    fn new(policy: &str) -> Self {
+        let mut desk = Self { log: Agreement::new(), tally: Tally::new(1, 0.0) };
+        desk.agree(policy);
+        desk
+    }
+
+    fn apply(&mut self, command: Command) -> Outcome {
+        self.log.apply(self.log.version() + 1, &command)
+    }
+
+    fn agree(&mut self, policy: &str) {
+        let (base, change) = (self.log.book().epoch(), ChangeId(self.log.version() + 1));
+        let policy: Policy = serde_json::from_str(policy).expect("JSON");
+        self.apply(Command::Policy(PolicyCommand::Propose { base, policy }));
+        let staged = self.log.roster().members().map(|(process, _)| process.clone()).collect();
+        let commit = PolicyCommand::Commit { change, staged, fenced: vec![] };
+        assert_eq!(self.apply(Command::Policy(commit)), Outcome::Done);
+    }
+
+    fn join(&mut self, name: &str, boot: u64, beside: bool) {
+        let (life, process) = ("127.0.0.1:9".parse().expect("an address"), process(name, boot));
+        let join = RosterCommand::Join { process, life, beside, fenced: false, active: None };
+        assert_eq!(self.apply(Command::Roster(join)), Outcome::Done);
+    }
+
+    fn beat(&mut self, now: Millis, process: Process, ballots: Vec<Ballot>) -> Vec<VerdictCommand> {
+        let echo = Some(Stamp { term: 1, at: now });
+        let votes = Some(Votes { up: vec![("z".to_owned(), 9)], ballots, ..Votes::default() });
+        self.tally.handle_all(now, [Input::Beat { process, echo, votes }], &self.log)
+    }
+
+    fn remove(&mut self, server: &str, up: u32) -> Outcome {
+        let (server, zone, case) = (server.to_owned(), "z".to_owned(), Case::default());
+        let remove = VerdictCommand::Remove { server, born_ms: 1.0, zone, zones: vec![], up, terms: 0, case };
+        self.apply(Command::Verdict(remove))
+    }
+}
+
+fn process(name: &str, boot: u64) -> Process {
+    Process { name: name.to_owned(), boot }
+}
+
+fn ballot(server: &str, stand: Stand) -> Ballot {
+    let (server, zone) = (server.to_owned(), "z".to_owned());
+    let evidence = Evidence { attempts: 9, errors: 9, ..Evidence::default() };
+    Ballot { server, born_ms: 1.0, zone, stand, evidence }
+}
+
+#[test]
+fn the_cap_is_rounded_down_and_counts_in_the_logs_order() {
+    let mut desk = Desk::new(r#"{"Votes": {}}"#);
+    for (up, outcome) in [(1, Outcome::Capped), (2, Outcome::Capped), (3, Outcome::Done)] {
+        assert_eq!(desk.remove("a", up), outcome, "{up}");
+    }
+    assert_eq!((desk.remove("b", 5), desk.remove("b", 6)), (Outcome::Capped, Outcome::Done));
+    desk.agree(r#"{"Votes": {"Cap": 0.2}}"#);
+    let ended: Vec<_> = desk.log.verdicts().past().map(|past| (past.server.as_str(), past.why)).collect();
+    assert_eq!((ended, desk.log.verdicts().removed("z")), (vec![("b", Why::Cap)], 1));
+    desk.agree("{}");
+    assert_eq!((desk.log.verdicts().removed("z"), desk.remove("a", 9)), (0, Outcome::Over));
+}
+
+#[test]
+fn a_snapshot_has_the_old_schema_until_there_are_verdicts() {
+    let mut desk = Desk::new(r#"{"Votes": {}}"#);
+    let schema = |log: &Agreement| {
+        serde_json::from_slice::<serde_json::Value>(&log.snapshot()).expect("JSON")["schema"].clone()
+    };
+    assert_eq!(schema(&desk.log), 1);
+    assert_eq!(Agreement::restore(&desk.log.snapshot()), Ok(desk.log.clone()));
+    desk.remove("a", 3);
+    assert_eq!(schema(&desk.log), 2);
+    assert_eq!(Agreement::restore(&desk.log.snapshot()), Ok(desk.log.clone()));
+}
+
+#[test]
+fn two_processes_of_a_name_are_one_voter() {
+    let mut desk = Desk::new(r#"{"Votes": {}}"#);
+    desk.join("a", 1, false);
+    desk.join("a", 2, true);
+    for round in 1..10 {
+        let now = 1000.0 * Millis::from(round);
+        for boot in [1, 2] {
+            let commands = desk.beat(now, process("a", boot), vec![ballot("s", Stand::For)]);
+            assert_eq!((commands, desk.tally.asked()), (vec![], &[][..]));
+        }
+    }
+    desk.join("b", 1, false);
+    desk.beat(10_000.0, process("a", 2), vec![ballot("s", Stand::For)]);
+    let commands = desk.beat(10_100.0, process("b", 1), vec![ballot("s", Stand::For)]);
+    assert!(matches!(&commands[..], [VerdictCommand::Remove { up: 9, .. }]), "{commands:?}");
+}
+
+#[test]
+fn a_node_that_floods_displaces_only_its_own() {
+    let mut desk = Desk::new(r#"{"Votes": {}}"#);
+    ["a", "b", "flood"].iter().for_each(|name| desk.join(name, 1, false));
+    let flood: Vec<Ballot> = (0..10_000).map(|n| ballot(&format!("x{n}"), Stand::For)).collect();
+    desk.beat(0.0, process("flood", 1), flood);
+    desk.beat(100.0, process("a", 1), vec![ballot("s", Stand::For)]);
+    desk.beat(200.0, process("b", 1), vec![ballot("s", Stand::For)]);
+    // The flooding node has not been asked yet, and counts as against; then it is silent.
+    assert_eq!(desk.tally.asked(), ["s"]);
+    let said = desk.tally.shown(200.0, &desk.log);
+    assert_eq!((said.questions.len(), said.voters), (1, 3));
+    assert!(BALLOTS_MOST < ASKED_MOST);
+}
