--- a/crates/control/src/tally.rs
+++ b/crates/control/src/tally.rs
@@ -15,9 +15,9 @@
 //!   knows nobody: all of the roster are waited for.
 //! - *Weight.* The attempts that a ballot tells of, up to `Weight` and up to the median of all ballots on that server:
 //!   where evidence is thin, a liar that claims much weighs no more than the one in the middle.
-//! - *Removal.* At least `Voters` are for it, their weight is at least `Evidence` and `Majority` of all, and they are of
-//!   two zones where the voters are of two or more. Otherwise zones are looked at one by one, and those where the first
-//!   three rules hold lose it. Fewer than `Voters` liars bring nothing about, not even a question; more of them not while
+//! - *Removal.* At least `Voters` are for it, they tell of `Evidence` failures (none of more than it weighs), their weight
+//!   is `Majority` of all, and they are of two zones where the voters are of two or more. Otherwise zones are
+//!   looked at one by one, and those where the first three rules hold lose it. Fewer than `Voters` liars bring nothing about, not even a question; more of them not while
 //!   they weigh less than `Majority` of a zone's voters and of all.
 //! - *Term.* Counted from when this leader has seen the verdict; one that finds a verdict does not know how long it has
 //!   held and takes its term to be over. Each further term is twice as long, up to [`TERM_GROWTH`] times.
@@ -279,7 +279,7 @@
             for voice in uncovered(voices, verdicts.get(server)).filter(|v| v.ballot.stand == Stand::For) {
                 let (count, sum) = by_process.entry(voice.ballot.born_ms.to_bits()).or_default();
                 *count += 1;
-                *sum += voice.ballot.evidence.attempts.min(weight);
+                *sum += voice.ballot.evidence.failed().min(weight);
             }
             if let Some((&process, &(count, sum))) = by_process.iter().max_by_key(|(_, counted)| **counted) {
                 if count >= voters && sum >= evidence {
--- a/crates/control/src/tally/poll.rs
+++ b/crates/control/src/tally/poll.rs
@@ -150,7 +150,7 @@
         let Case { favour, against } = &count.case;
         let all = f64::from(favour.weight) + f64::from(against.weight) + f64::from(count.waited);
         favour.voters >= self.figures.voters
-            && favour.weight >= self.figures.evidence
+            && favour.failed >= self.figures.evidence
             && f64::from(favour.weight) >= self.figures.majority * all - 1e-9
     }
 }
@@ -178,6 +178,7 @@
         for voice in &of {
             let evidence = &voice.ballot.evidence;
             side.weight = side.weight.saturating_add(evidence.attempts.min(lid));
+            side.failed = side.failed.saturating_add(evidence.failed().min(lid));
             add(&mut side.evidence, evidence);
         }
         side.named = of.iter().take(NAMED).map(|voice| voice.name.to_owned()).collect();
--- a/crates/control/src/verdicts.rs
+++ b/crates/control/src/verdicts.rs
@@ -40,6 +40,8 @@
     pub voters: u32,
     /// What their evidence weighs together.
     pub weight: u32,
+    /// How many failures that counts.
+    pub failed: u32,
     /// Their evidence, added up.
     pub evidence: Evidence,
     /// Who; those whose evidence weighs most, [`NAMED`] at most.
--- a/crates/member/src/votes.rs
+++ b/crates/member/src/votes.rs
@@ -38,7 +38,7 @@
     pub failed: f64,
     /// Votes for a removal that are needed at the least.
     pub voters: u32,
-    /// Attempts of all voters for a removal that are needed together, at the least.
+    /// Failures that the voters for a removal need together, at the least.
     pub evidence: u32,
     /// Part of the weight of all evidence that must be for a removal, over 0.5 to 1.
     pub majority: f64,
