Let a verdict for a zone widen by the word of a single node of another

Nodes stood in zones a, a and b; the two of a had condemned the server while the one of b still had good answers in its window. Nodes that a verdict keeps from a server have no voice on it any more, so the one of b was alone with its word, and fewer than Voters, for good. The verdict's own case now stands for those who brought it about where the others are counted; a majority of the others' weight is needed as before. A liar that is alone in its zone can have a server that others have condemned removed there, too.

--- a/crates/control/src/tally.rs
+++ b/crates/control/src/tally.rs
@@ -16,9 +16,12 @@
 //! - *Weight.* The attempts that a ballot tells of, up to `Weight` and up to the median of all ballots on that server:
 //!   where evidence is thin, a liar that claims much weighs no more than the one in the middle.
 //! - *Removal.* At least `Voters` are for it, they tell of `Evidence` failures (none of more than it weighs), their weight
-//!   is `Majority` of all, and they are of two zones where the voters are of two or more. Otherwise zones are
-//!   looked at one by one, and those where the first three rules hold lose it. Fewer than `Voters` liars bring nothing about, not even a question; more of them not while
-//!   they weigh less than `Majority` of a zone's voters and of all.
+//!   is `Majority` of all, and they are of two zones where the voters are of two or more. Otherwise zones are looked at one
+//!   by one, and those where the first three rules hold lose it. Fewer than `Voters` liars bring nothing about, not even a
+//!   question; more of them not while they weigh less than `Majority` of a zone's voters and of all.
+//! - *Widening.* Those who brought about a verdict for some zones send nothing there any more, so that they have no voice
+//!   left: the verdict's own case stands for them where the others are counted. A zone in which a single node sends to
+//!   the server would else never lose it.
 //! - *Term.* Counted from when this leader has seen the verdict; one that finds a verdict does not know how long it has
 //!   held and takes its term to be over. Each further term is twice as long, up to [`TERM_GROWTH`] times.
 //! - *Return.* A term over, a few nodes probe. If they agree early, that decides; if not, what they weigh after `Window` and
@@ -275,15 +278,19 @@
         let Figures { voters, evidence, weight, .. } = *poll.figures;
         let mut suspects = BTreeMap::new();
         for (server, voices) in poll.servers() {
+            let entry = verdicts.get(server);
             let mut by_process: BTreeMap<u64, (u32, u32)> = BTreeMap::new();
-            for voice in uncovered(voices, verdicts.get(server)).filter(|v| v.ballot.stand == Stand::For) {
+            for voice in uncovered(voices, entry).filter(|v| v.ballot.stand == Stand::For) {
                 let (count, sum) = by_process.entry(voice.ballot.born_ms.to_bits()).or_default();
                 *count += 1;
                 *sum += voice.ballot.evidence.failed().min(weight);
             }
             if let Some((&process, &(count, sum))) = by_process.iter().max_by_key(|(_, counted)| **counted) {
-                if count >= voters && sum >= evidence {
-                    suspects.insert(server, (f64::from_bits(process), sum));
+                let born_ms = f64::from_bits(process);
+                let before = entry.filter(|entry| entry.born_ms == born_ms).map(|entry| &entry.case.favour);
+                let (known, failed) = before.map_or((0, 0), |side| (side.voters, side.failed));
+                if count.saturating_add(known) >= voters && sum.saturating_add(failed) >= evidence {
+                    suspects.insert(server, (born_ms, sum));
                 }
             }
         }
@@ -328,14 +335,15 @@
                 .filter(|voice| voice.ballot.born_ms == question.born_ms)
                 .collect();
             let whole = poll.count(&voices, question.since, None);
-            let zones = if poll.condemns(&whole) && whole.spans() {
+            let before = known.map(|entry| &entry.case.favour);
+            let zones = if poll.condemns(&whole, before) && whole.spans() {
                 Some(Vec::new())
             } else {
                 let zones: Vec<String> = zones_of(&voices)
                     .filter(|zone| {
                         let of: Vec<Voice> =
                             voices.iter().filter(|v| v.zone == Some(zone)).copied().collect();
-                        poll.condemns(&poll.count(&of, question.since, Some(zone)))
+                        poll.condemns(&poll.count(&of, question.since, Some(zone)), before)
                     })
                     .take(ZONES_MOST)
                     .map(str::to_owned)
--- a/crates/control/src/tally/poll.rs
+++ b/crates/control/src/tally/poll.rs
@@ -145,12 +145,14 @@
         Count { case: case(voices, lid), waited, zones: (zones(true), zones(false)) }
     }
 
-    /// Whether what was counted is enough to remove a server.
-    pub fn condemns(&self, count: &Count) -> bool {
+    /// Whether what was counted is enough to remove a server; `before` are those who have condemned it for other zones.
+    pub fn condemns(&self, count: &Count, before: Option<&Side>) -> bool {
         let Case { favour, against } = &count.case;
+        let (voters, failed) = before.map_or((0, 0), |side| (side.voters, side.failed));
         let all = f64::from(favour.weight) + f64::from(against.weight) + f64::from(count.waited);
-        favour.voters >= self.figures.voters
-            && favour.failed >= self.figures.evidence
+        favour.voters > 0
+            && favour.voters.saturating_add(voters) >= self.figures.voters
+            && favour.failed.saturating_add(failed) >= self.figures.evidence
             && f64::from(favour.weight) >= self.figures.majority * all - 1e-9
     }
 }
