--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 //!     },
 //!     retry: Retry::default(),
 //!     ejection: Ejection::default(),
+//!     votes: None,
 //!     server_weights: Default::default(),
 //!     rules: Rules {
 //!         ask_within: 10_000.0, cold_share: 0.2, warm_within: 20_000.0, fall_multiple: 3.0, fall_window: 1_000.0,
