--- a/crates/control/src/tally/poll.rs
+++ b/crates/control/src/tally/poll.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use member::votes::{Ballot, Evidence, Figures, Stand};
+use member::votes::{Ballot, Figures, Stand};
 use member::Millis;
 
 use crate::roster::Roster;
@@ -181,7 +181,7 @@
             let evidence = &voice.ballot.evidence;
             side.weight = side.weight.saturating_add(evidence.attempts.min(lid));
             side.failed = side.failed.saturating_add(evidence.failed().min(lid));
-            add(&mut side.evidence, evidence);
+            side.evidence = side.evidence.and(evidence);
         }
         side.named = of.iter().take(NAMED).map(|voice| voice.name.to_owned()).collect();
         side
@@ -189,15 +189,6 @@
     Case { favour: side(Stand::For), against: side(Stand::Against) }
 }
 
-fn add(sum: &mut Evidence, more: &Evidence) {
-    let Evidence { attempts, connects, breaks, timeouts, errors } = more;
-    sum.attempts = sum.attempts.saturating_add(*attempts);
-    sum.connects = sum.connects.saturating_add(*connects);
-    sum.breaks = sum.breaks.saturating_add(*breaks);
-    sum.timeouts = sum.timeouts.saturating_add(*timeouts);
-    sum.errors = sum.errors.saturating_add(*errors);
-}
-
 /// The one in the middle; of two the smaller one, of none 0.
 fn median(figures: &mut [u32]) -> u32 {
     if figures.is_empty() {
