--- a/crates/control/src/tally/shown.rs
+++ b/crates/control/src/tally/shown.rs
@@ -7,7 +7,7 @@
 use super::poll::{Count, Poll, Voice};
 use super::{figures, term, zone_of, Tally};
 use crate::machine::Agreement;
-use crate::verdicts::{allowed, Case, Entry, Past};
+use crate::verdicts::{allowed, Case, Entry};
 
 /// How many voters of a server are shown; how many nodes that doubt themselves are named.
 const SHOWN_MOST: usize = 64;
@@ -27,8 +27,6 @@
     pub verdicts: Vec<InForce>,
     /// Servers that nodes were asked about.
     pub questions: Vec<Asked>,
-    /// How the last verdicts ended, newest last.
-    pub past: Vec<Past>,
 }
 
 /// A verdict in force.
@@ -87,9 +85,9 @@
     /// What operators are shown.
     pub fn shown(&self, now: Millis, agreement: &Agreement) -> Shown {
         let verdicts = agreement.verdicts();
-        let (version, past) = (verdicts.version(), verdicts.past().cloned().collect());
+        let version = verdicts.version();
         let Some(figures) = figures(agreement.book().policy()).filter(|_| self.on) else {
-            return Shown { version, past, ..Shown::default() };
+            return Shown { version, ..Shown::default() };
         };
         let poll = Poll::new(now, self.began, &figures, &self.voters, agreement.roster());
         let in_force = verdicts.entries().map(|(server, entry)| {
@@ -130,7 +128,6 @@
             doubting: doubting.take(SHOWN_MOST).collect(),
             verdicts: in_force.collect(),
             questions: questions.collect(),
-            past,
         }
     }
 }
