Make room for a crowd one descriptor at a time, and ask the kernel of few

Cause: `Clients::evict` asked the kernel (`quiet`) of every idle connection, 370 of them, at every connection that came, and took the one it chose from the count at once, though its descriptor goes with its task's next turn: `accept` went on through the backlog without giving any task a turn. Ruled out: discovery's call (it was made and answered), the module, memory (20 of 48 MB). Change: rank without asking, then ask of the least until one is quiet; an evicted connection counts until it is gone, and accepting waits for that.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,7 +1,8 @@
 //! The clients' side: the listener, reading requests, and the one final answer of each.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -70,12 +71,16 @@
 struct Client {
     sock: Rc<Sock>,
     close: Notify,
+    /// It has to make room, and its socket is about to go.
+    evicted: Cell<bool>,
 }
 
 /// The connections of clients.
 pub struct Clients {
     node: Rc<Node>,
     open: RefCell<HashMap<u64, Rc<Client>>>,
+    /// How many of them are evicted.
+    evicted: Cell<usize>,
     last: Cell<u64>,
     freed: Notify,
 }
@@ -83,18 +88,18 @@
 impl Clients {
     /// No connections yet.
     pub fn new(node: Rc<Node>) -> Rc<Self> {
-        let (open, last, freed) = (RefCell::default(), Cell::new(0), Notify::new());
-        Rc::new(Self { node, open, last, freed })
+        let (open, evicted, last) = (RefCell::default(), Cell::new(0), Cell::new(0));
+        Rc::new(Self { node, open, evicted, last, freed: Notify::new() })
     }
 
-    /// How many connections there are.
+    /// How many connections there are: each holds a descriptor until its task has ended, evicted or not.
     pub fn count(&self) -> usize {
         self.open.borrow().len()
     }
 
     /// Closes idle connections until there are no more than there may be, or none is idle.
     pub fn shrink(&self) {
-        while self.count() > self.node.client_connections() && self.evict(false) {}
+        while self.count() - self.evicted.get() > self.node.client_connections() && self.evict(false) {}
     }
 
     /// Accepts connections; never ends.
@@ -104,7 +109,10 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     // Room is made once it is needed, and never by a connection that has just come.
-                    while self.count() >= self.node.client_connections() && !self.evict(true) {
+                    while self.count() >= self.node.client_connections() {
+                        if self.evicted.get() == 0 {
+                            self.evict(true);
+                        }
                         // One that is busy now may be idle soon, which nobody tells.
                         let _ = timeout(EXHAUSTED, self.freed.notified()).await;
                     }
@@ -166,25 +174,26 @@
     /// Closes the connection that has been idle for longest, or else, if `coming` says so, the one whose request has
     /// come no further for longest; false where there is none.
     fn evict(&self, coming: bool) -> bool {
-        let (number, client) = {
-            let open = self.open.borrow();
-            let rank = |c: &Client| match c.sock.phase() {
-                (Phase::New, since) if since.elapsed() < FRESH => None,
-                (Phase::Ending, since) => Some((0, since)),
-                (Phase::New | Phase::Idle, since) if c.sock.quiet() => Some((0, since)),
-                (Phase::Reading | Phase::Body, _) if coming && c.sock.heard().elapsed() >= FRESH => {
-                    Some((1, c.sock.heard()))
-                }
-                _ => None,
-            };
-            let least = open.iter().filter_map(|(n, c)| Some((rank(c)?, *n))).min();
-            let Some((_, number)) = least else { return false };
-            (number, open.get(&number).cloned())
+        let (open, now) = (self.open.borrow(), Instant::now());
+        let waits = |since: Instant| now.saturating_duration_since(since) >= FRESH;
+        let rank = |c: &Client| match c.sock.phase() {
+            _ if c.evicted.get() => None,
+            (Phase::New, since) if !waits(since) => None,
+            (Phase::New | Phase::Idle | Phase::Ending, since) => Some((0, since)),
+            (Phase::Reading | Phase::Body, _) if coming && waits(c.sock.heard()) => Some((1, c.sock.heard())),
+            _ => None,
         };
-        if let Some(client) = client {
-            client.close.notify_one();
-        }
-        self.open.borrow_mut().remove(&number);
+        let mut ranked: BinaryHeap<_> =
+            open.iter().filter_map(|(n, c)| Some(Reverse((rank(c)?, *n)))).collect();
+        // The kernel is asked of as few as it takes: to ask of each at every connection of a crowd is all that the
+        // node would find time for.
+        let idle = |c: &Client| !matches!(c.sock.phase().0, Phase::New | Phase::Idle) || c.sock.quiet();
+        let least =
+            std::iter::from_fn(|| ranked.pop()).find_map(|Reverse((_, n))| open.get(&n).filter(|c| idle(c)));
+        let Some(client) = least else { return false };
+        client.evicted.set(true);
+        self.evicted.set(self.evicted.get() + 1);
+        client.close.notify_one();
         true
     }
 
@@ -192,12 +201,14 @@
         let Ok(sock) = Sock::new(stream) else { return };
         let number = self.last.get() + 1;
         self.last.set(number);
-        let client = Rc::new(Client { sock, close: Notify::new() });
+        let client = Rc::new(Client { sock, close: Notify::new(), evicted: Cell::new(false) });
         self.open.borrow_mut().insert(number, client.clone());
         let clients = self.clone();
         tokio::task::spawn_local(async move {
-            clients.converse(client).await;
+            clients.converse(client.clone()).await;
             clients.open.borrow_mut().remove(&number);
+            clients.evicted.set(clients.evicted.get() - usize::from(client.evicted.get()));
+            drop(client);
             clients.freed.notify_one();
         });
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -475,6 +475,42 @@
     }
 }
 
+/// A burst of connections on a house full of idle ones, while discovery is down: no more descriptors are taken than there
+/// are, and those of discovery and of servers are left to them. The list is taken at the return.
+#[test]
+fn a_crowd_takes_no_descriptor_that_is_not_free_yet() {
+    let servers = ["a", "b"].map(Peer::good);
+    let list = |health| {
+        ["s0", "s1"].map(|s| {
+            host(s, servers[usize::from(s == "s1")].address, if s == "s0" { health } else { "active" }, 1)
+        })
+    };
+    let registry = Registry::new(&list("active"));
+    let mut config = config(registry.address);
+    config["limits"]["sockets"] = json!(256);
+    let node = Node::listening(&config, Some(200));
+    node.wait_ready();
+    let ask = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    let mut crowd: Vec<Client> = (0..140).map(|_| Client::to(&node)).collect();
+    crowd.iter_mut().for_each(|client| assert_eq!(client.ask(ask).status(), 200));
+    registry.down(true);
+    // All that it finds in its backlog comes in one turn.
+    node.signal("-STOP");
+    let mut burst: Vec<Client> = (0..200).map(|_| Client::to(&node)).collect();
+    burst.iter_mut().for_each(|client| client.send(ask));
+    node.signal("-CONT");
+    burst.iter_mut().for_each(|client| assert_eq!(client.hear().map(|m| m.status()), Some(200)));
+    assert!(!node.logged("accept:"), "it ran out of descriptors");
+    registry.tell(2, &list("leaving"), &list("leaving")[..1]);
+    registry.down(false);
+    until("the list is taken", || node.logged("list 2"));
+    let before = servers[0].seen().len();
+    for n in 0..8 {
+        assert_eq!(Client::to(&node).ask(&request("slip", &format!("t{n}"), 20_000)).status(), 200);
+    }
+    assert_eq!((servers[0].seen().len(), servers[1].seen().len()), (before, 8));
+}
+
 /// All connections busy, and one more waits: once they are idle again, one of them makes room for it.
 #[test]
 fn a_crowd_of_busy_connections_does_not_shut_out_the_next() {
