Find classes and tenants whatever their names, and name each bad field of the settings

Bad settings were named by the module's words (classes[0].aim for Slo, rules.fall_window for Fall) or not at all: a second class or tenant of one name, an empty name, a DedupScope, Discovery or Weights of the wrong type, an OpenCap below 1, more nodes than the module's table can hold. A held node told clients when to come back by the settings of its start, whatever policy was agreed since.

Change: percent-decode the name, compare tenants by bytes, leave /ready to a class of that name where the request brings an id; read settings by bounds, with errors that begin with the field's path; hold the agreed MaxRetryAfter beside the open cap. tests/adapter.rs wants the field's own name, Tick, in place of the module's tick; config.rs's fixture gets one class.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -14,6 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use percent_encoding::percent_decode_str;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::timeout;
@@ -232,7 +233,7 @@
 async fn respond(node: Rc<Node>, sock: Rc<Sock>, request: Request<Incoming>) -> Response<Outgoing> {
     let began = sock.arrived();
     let head = *request.method() == Method::HEAD;
-    let mut answer = if request.uri().path() == "/ready" {
+    let mut answer = if asks_readiness(&node, &request) {
         plain(node.readiness())
     } else {
         let ambiguous = sock.ambiguous();
@@ -263,6 +264,13 @@
     answer
 }
 
+/// Is it the question whether the node can serve? A class may be named so too; its requests bring an id.
+fn asks_readiness(node: &Node, request: &Request<Incoming>) -> bool {
+    let class =
+        || request.headers().contains_key(TXN) && node.config.told.classes.iter().any(|c| c == "ready");
+    request.uri().path() == "/ready" && !class()
+}
+
 /// An answer without a body.
 pub fn plain(status: StatusCode) -> Response<Outgoing> {
     let mut answer = Response::new(Outgoing::held(Bytes::new()));
@@ -436,12 +444,16 @@
     if declared.is_some_and(|n| n > BODY_MOST as u64) {
         return Err(unread(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let name = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let class = told.classes.iter().position(|c| c == name).ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
+    // What a path can't hold as it is comes percent-encoded; no class has an empty name.
+    let first = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+    let name = percent_decode_str(first).decode_utf8().unwrap_or_default();
+    let class = told.classes.iter().position(|c| *c == name).ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
     let checked = check(&parts.method, &parts.headers, told.settings.classes[class].effect);
     let remaining = checked.map_err(|bad| unread(bad.status))?;
-    let tenant = header(&parts.headers, &ORG).ok().flatten();
-    let tenant = tenant.and_then(|org| told.tenants.iter().position(|t| t == org));
+    // A name may have letters beyond ASCII; two of them are none.
+    let mut orgs = parts.headers.get_all(&ORG).iter();
+    let org = orgs.next().filter(|_| orgs.next().is_none());
+    let tenant = org.and_then(|org| told.tenants.iter().position(|t| t.as_bytes() == org.as_bytes()));
     let mut uri = Uri::builder();
     if let Some(path) = parts.uri.path_and_query() {
         uri = uri.path_and_query(path.clone());
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -268,10 +268,14 @@
     let Address(listen) = fields.listen.ok_or(missing("listen"))?;
     let Address(discovery) = fields.discovery.ok_or(missing("discovery"))?;
     let Hex(seed) = fields.seed.ok_or(missing("seed"))?;
+    let name = fields.name.ok_or(missing("name"))?;
+    if name.is_empty() {
+        return Err(fault("name", "a name expected, not \"\"".into()));
+    }
     let told = told(&fields.settings).map_err(|e| ConfigError::Settings(e.to_string()))?;
     let control = fields.control.map(|group| control(group, listen, fields.state_dir, fields.settings));
     Ok(Config {
-        name: fields.name.ok_or(missing("name"))?,
+        name,
         listen,
         inherited: env(INHERITED).map(|v| descriptor(&v)).transpose()?,
         admin: fields.admin_addr.map(|Address(at)| at),
@@ -371,7 +375,7 @@
     #[test]
     fn a_control_group_is_read_or_its_field_is_named() {
         let with = |control: Value, folder: Value| {
-            let settings = json!({"Classes": [], "Limits": {"AttemptsCap": 1, "ConnectTimeout": 1.0}, "Me": 0,
+            let settings = json!({"Classes": [{"Name": "c", "Slo": 1.0, "Idempotency": "pure"}], "Limits": {"AttemptsCap": 1, "ConnectTimeout": 1.0}, "Me": 0,
                 "PeersTotal": 1, "Contract": {"ColdShare": 0.1, "WarmWithin": 1.0, "FallMultiple": 3.0, "Fall": 1.0}});
             let file = json!({"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
                 "settings": settings, "control": control, "state_dir": folder});
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -187,6 +187,8 @@
     gate: Option<Rc<Gate>>,
     /// The most requests that may be open.
     open_cap: Cell<usize>,
+    /// The longest that clients heed when they are told to stay away.
+    max_retry_after: Cell<Millis>,
     hands: Box<dyn Hands>,
     clock: Clock,
     informed: Cell<bool>,
@@ -237,6 +239,7 @@
             metrics: Metrics::new(config.told.classes.len()),
             discovery: Cell::new(config.discovery),
             open_cap: Cell::new(config.told.open_cap),
+            max_retry_after: Cell::new(config.told.settings.limits.max_retry_after),
             config,
             closing: Cell::new(None),
             gate,
@@ -367,7 +370,7 @@
 
     /// How long a client should stay away that was refused because of the gate.
     pub fn held_away(&self) -> Millis {
-        self.config.told.settings.limits.max_retry_after.min(HELD_AWAY)
+        self.max_retry_after.get().min(HELD_AWAY)
     }
 
     /// How many open requests a policy may ask this process to hold: each has a connection, and some memory of what
@@ -380,6 +383,7 @@
     /// Judges by a policy from now on; what has been taken goes on under that by which it was.
     pub fn judge_by(self: &Rc<Self>, told: Told) {
         self.open_cap.set(told.open_cap);
+        self.max_retry_after.set(told.settings.limits.max_retry_after);
         {
             let word = &mut self.state.borrow_mut().word;
             *word = told.settings.votes.is_some().then(|| word.take().unwrap_or_default());
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -63,68 +63,147 @@
     value.as_array().ok_or_else(|| format!("{what}: array expected"))
 }
 
-/// The settings of one object; an absent optional value takes its default, an absent required one is an
-/// error.
+/// What a number of the settings may be, and that in words.
+type Bound = (fn(f64) -> bool, &'static str);
+
+const AMOUNT: Bound = (|n| n >= 0.0, "an amount of 0 or more");
+const SHARE: Bound = (|n| (0.0..=1.0).contains(&n), "a share from 0 to 1");
+const TIME: Bound = (|n| (0.0..=DAY).contains(&n), "a time from 0 to 86,400,000 ms");
+const TIME_ABOVE: Bound = (|n| n > 0.0 && n <= DAY, "a time above 0, up to 86,400,000 ms");
+const COUNT: Bound = (|n| n >= 1.0 && n.fract() == 0.0, "a whole number from 1 on");
+const NODES: Bound =
+    (|n| n >= 1.0 && n <= NODES_MOST && n.fract() == 0.0, "a whole number from 1 to 100,000");
+const FACTOR: Bound = (|n| SERVER_WEIGHTS.contains(&n), "a factor from 0.01 to 100");
+
+/// The longest time that settings may name.
+const DAY: Millis = 86_400_000.0;
+/// The most nodes: the module fills a table of twice as many places.
+const NODES_MOST: f64 = 100_000.0;
+
+/// A number within its bound.
+fn within(value: &Value, what: &str, (fits, words): Bound) -> Result<f64, WireError> {
+    let found = number(value, what)?;
+    fits(found).then_some(found).ok_or_else(|| format!("{what}: {found} is not {words}"))
+}
+
+/// The fields of one object; an absent optional value takes its default, an absent required one is an
+/// error. Errors begin with the field's path.
 struct Fields<'a> {
-    map: &'a Map<String, Value>,
-    path: &'a str,
+    /// `None` where the whole object is absent.
+    map: Option<&'a Map<String, Value>>,
+    /// Empty for the settings themselves.
+    path: String,
 }
 
 impl<'a> Fields<'a> {
-    fn of(value: &'a Value, path: &'a str) -> Result<Self, WireError> {
-        let map = value.as_object().ok_or_else(|| format!("{path}: object expected"))?;
-        Ok(Self { map, path })
+    fn of(value: &'a Value, path: &str) -> Result<Self, WireError> {
+        match value.as_object() {
+            Some(map) => Ok(Self { map: Some(map), path: path.to_string() }),
+            None if path.is_empty() => Err("object expected".to_string()),
+            None => Err(format!("{path}: object expected")),
+        }
+    }
+
+    /// The path of one of its fields.
+    fn at(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_string()
+        } else {
+            format!("{}.{key}", self.path)
+        }
     }
 
     fn get(&self, key: &str) -> Option<&'a Value> {
-        self.map.get(key).filter(|v| !v.is_null())
+        self.map?.get(key).filter(|v| !v.is_null())
     }
 
     fn need(&self, key: &str) -> Result<&'a Value, WireError> {
-        self.get(key).ok_or_else(|| format!("{}: {key} is missing", self.path))
+        self.get(key).ok_or_else(|| format!("{} is missing", self.at(key)))
     }
 
     fn number(&self, key: &str) -> Result<f64, WireError> {
-        number(self.need(key)?, key)
+        number(self.need(key)?, &self.at(key))
     }
 
-    fn number_or(&self, key: &str, default: f64) -> Result<f64, WireError> {
-        self.get(key).map_or(Ok(default), |v| number(v, key))
+    fn whole(&self, key: &str) -> Result<u64, WireError> {
+        whole(self.need(key)?, &self.at(key))
+    }
+
+    fn within(&self, key: &str, bound: Bound) -> Result<f64, WireError> {
+        within(self.need(key)?, &self.at(key), bound)
+    }
+
+    fn within_or(&self, key: &str, bound: Bound, default: f64) -> Result<f64, WireError> {
+        self.get(key).map_or(Ok(default), |v| within(v, &self.at(key), bound))
     }
 
     fn flag_or(&self, key: &str, default: bool) -> Result<bool, WireError> {
-        let flag = |v: &Value| v.as_bool().ok_or_else(|| format!("{key}: true or false expected"));
+        let flag = |v: &Value| v.as_bool().ok_or_else(|| format!("{}: true or false expected", self.at(key)));
         self.get(key).map_or(Ok(default), flag)
     }
 
+    fn text(&self, key: &str) -> Result<&'a str, WireError> {
+        text(self.need(key)?, &self.at(key))
+    }
+
+    fn text_or(&self, key: &str, default: &'a str) -> Result<&'a str, WireError> {
+        self.get(key).map_or(Ok(default), |v| text(v, &self.at(key)))
+    }
+
     fn list(&self, key: &str) -> Result<&'a [Value], WireError> {
-        self.get(key).map_or(Ok(&[]), |v| list(v, key).map(Vec::as_slice))
+        self.get(key).map_or(Ok(&[]), |v| list(v, &self.at(key)).map(Vec::as_slice))
+    }
+
+    /// An object in it; without fields where it is absent.
+    fn object(&self, key: &str) -> Result<Self, WireError> {
+        let path = self.at(key);
+        self.get(key).map_or(Ok(Self { map: None, path: path.clone() }), |v| Self::of(v, &path))
+    }
+
+    /// A list of objects that are told apart by their names.
+    fn named<T>(
+        &self,
+        key: &str,
+        read: impl Fn(&Self) -> Result<T, WireError>,
+    ) -> Result<(Names, Vec<T>), WireError> {
+        let (mut names, mut all) = (Names::new(), Vec::new());
+        for (n, value) in self.list(key)?.iter().enumerate() {
+            let item = Self::of(value, &format!("{}[{n}]", self.at(key)))?;
+            let (name, path) = (item.text("Name")?, item.at("Name"));
+            if name.is_empty() || name.contains(char::is_control) {
+                return Err(format!("{path}: {name:?} is not a name of characters that can be seen"));
+            }
+            if names.iter().any(|before| before == name) {
+                return Err(format!("{path}: {name:?} is there already"));
+            }
+            names.push(name.to_string());
+            all.push(read(&item)?);
+        }
+        Ok((names, all))
     }
 }
 
-fn class(value: &Value) -> Result<(String, Class), WireError> {
-    let f = Fields::of(value, "Classes")?;
-    let group = match f.get("DedupScope").and_then(Value::as_str) {
-        Some("all") => Group::All,
-        Some("zone") => Group::Zone,
-        // The narrowest group is the safe reading of an absent one.
-        Some("cell") | None => Group::Cell,
-        Some(other) => return Err(format!("DedupScope: {other} is unknown")),
+fn class(f: &Fields<'_>) -> Result<Class, WireError> {
+    // The narrowest group is the safe reading of an absent one.
+    let group = match f.text_or("DedupScope", "cell")? {
+        "all" => Group::All,
+        "zone" => Group::Zone,
+        "cell" => Group::Cell,
+        other => return Err(format!("{}: {other} is unknown", f.at("DedupScope"))),
     };
-    let effect = match text(f.need("Idempotency")?, "Idempotency")? {
+    let effect = match f.text("Idempotency")? {
         "pure" => Effect::Safe,
-        "token" => Effect::Keyed { group, memory: f.number_or("MemorySpan", 0.0)? },
+        "token" => Effect::Keyed { group, memory: f.within_or("MemorySpan", TIME, 0.0)? },
         "side_effect" => Effect::Unsafe,
-        other => return Err(format!("Idempotency: {other} is unknown")),
+        other => return Err(format!("{}: {other} is unknown", f.at("Idempotency"))),
     };
-    let class = Class {
-        aim: f.number("Slo")?,
-        worth: f.number_or("Value", 1.0)?,
-        deadline: f.number_or("Deadline", f64::INFINITY)?,
-        late_worth: f.number_or("LateValue", 0.0)?,
+    Ok(Class {
+        aim: f.within("Slo", TIME_ABOVE)?,
+        worth: f.within_or("Value", AMOUNT, 1.0)?,
+        deadline: f.within_or("Deadline", TIME_ABOVE, f64::INFINITY)?,
+        late_worth: f.within_or("LateValue", SHARE, 0.0)?,
         effect,
-    };
-    Ok((text(f.need("Name")?, "Name")?.to_string(), class))
+    })
 }
 
 /// Votes are read, and refused, as the control group does it.
@@ -162,91 +241,88 @@
 /// # Errors
 /// Names the first field that is missing or malformed.
 pub fn told(value: &Value) -> Result<Told, WireError> {
-    let f = Fields::of(value, "Options")?;
-    let classes = f.list("Classes")?.iter().map(class).collect::<Result<Vec<_>, _>>()?;
-    let (class_names, classes): (Names, Vec<Class>) = classes.into_iter().unzip();
-    let longest = classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-    let mut tenants = Vec::new();
-    let mut tenant_names = Vec::new();
-    for value in f.list("Customers")? {
-        let t = Fields::of(value, "Customers")?;
-        tenant_names.push(text(t.need("Name")?, "Name")?.to_string());
-        tenants.push(Tenant { quota_per_s: t.number("QuotaPerS")? });
+    let f = Fields::of(value, "")?;
+    let (class_names, classes) = f.named("Classes", class)?;
+    if classes.is_empty() {
+        return Err("Classes: no classes, one is needed at least".to_string());
     }
+    let longest = classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let tenant = |t: &Fields<'_>| Ok(Tenant { quota_per_s: t.within("QuotaPerS", AMOUNT)? });
+    let (tenant_names, tenants) = f.named("Customers", tenant)?;
     let l = Fields::of(f.need("Limits")?, "Limits")?;
     let r = Fields::of(f.need("Contract")?, "Contract")?;
-    let empty = Value::Object(Map::new());
-    let g = Fields::of(f.get("Goal").unwrap_or(&empty), "Goal")?;
-    let t = Fields::of(f.get("Retry").unwrap_or(&empty), "Retry")?;
-    let e = Fields::of(f.get("Ejection").unwrap_or(&empty), "Ejection")?;
+    let (g, t, e) = (f.object("Goal")?, f.object("Retry")?, f.object("Ejection")?);
     let (retry, ejection) = (Retry::default(), Ejection::default());
-    let weights = Fields::of(f.get("ServerWeights").unwrap_or(&empty), "ServerWeights")?;
-    let weights = weights.map.iter().map(|(name, factor)| Ok((name.clone(), number(factor, name)?)));
+    let weights = f.object("ServerWeights")?;
+    let factor =
+        |(name, factor): (&String, &Value)| Ok((name.clone(), within(factor, &weights.at(name), FACTOR)?));
+    let factors = weights.map.into_iter().flatten().map(factor);
     let bans = f.list("ServerBans")?.iter().map(|name| text(name, "ServerBans").map(str::to_string));
+    let (number, nodes) = (f.whole("Me")?, f.within("PeersTotal", NODES)?);
+    if number as f64 >= nodes {
+        return Err(format!("Me: {number} is not below PeersTotal"));
+    }
     let settings = Settings {
-        number: whole(f.need("Me")?, "Me")? as usize,
-        nodes: whole(f.need("PeersTotal")?, "PeersTotal")? as usize,
+        number: number as usize,
+        nodes: nodes as usize,
         classes,
         tenants,
-        over_share_worth: f.number_or("OverShareWorth", 1.0)?,
+        over_share_worth: f.within_or("OverShareWorth", SHARE, 1.0)?,
         goal: Goal {
-            worth: g.number_or("Whole", 1.0)? + g.number_or("WorstWindow", 0.0)?,
-            worst_class: g.number_or("WorstClass", 0.0)?,
-            worst_tenant: g.number_or("WorstTenant", 0.0)?,
+            worth: g.within_or("Whole", AMOUNT, 1.0)? + g.within_or("WorstWindow", AMOUNT, 0.0)?,
+            worst_class: g.within_or("WorstClass", AMOUNT, 0.0)?,
+            worst_tenant: g.within_or("WorstTenant", AMOUNT, 0.0)?,
         },
         limits: Limits {
-            attempts: whole(l.need("AttemptsCap")?, "AttemptsCap")? as usize,
+            attempts: l.within("AttemptsCap", COUNT)? as usize,
             second_copies: l.flag_or("MayDuplicate", false)?,
             cancel: l.flag_or("Cancel", false)?,
             probes: l.flag_or("Probes", false)?,
-            connect_timeout: l.number("ConnectTimeout")?,
+            connect_timeout: l.within("ConnectTimeout", TIME)?,
             max_retry_after: if l.flag_or("RetryAfter", false)? {
-                l.number_or("MaxRetryAfter", 0.0)?
+                l.within_or("MaxRetryAfter", TIME, 0.0)?
             } else {
                 0.0
             },
         },
         retry: Retry {
-            share: t.number_or("BudgetShare", retry.share)?,
-            most: t.number_or("BudgetMax", retry.most)?,
+            share: t.within_or("BudgetShare", SHARE, retry.share)?,
+            most: t.within_or("BudgetMax", AMOUNT, retry.most)?,
         },
         ejection: Ejection {
-            failures: e.get("Failures").map_or(Ok(ejection.failures), |v| {
-                let failures = whole(v, "Failures")?;
-                failures.try_into().map_err(|_| format!("Failures: {failures} is too many"))
-            })?,
-            at_most: e.number_or("AtMost", ejection.at_most)?,
+            failures: e.within_or("Failures", COUNT, f64::from(ejection.failures))? as u32,
+            at_most: e.within_or("AtMost", SHARE, ejection.at_most)?,
         },
         votes: f.get("Votes").map(votes).transpose()?,
         server_weights: BTreeMap::new(),
         rules: Rules {
-            ask_within: r.number_or("AskWithin", 10_000.0)?,
-            cold_share: r.number("ColdShare")?,
-            warm_within: r.number("WarmWithin")?,
-            fall_multiple: r.number("FallMultiple")?,
-            fall_window: r.number("Fall")?,
+            ask_within: r.within_or("AskWithin", TIME, 10_000.0)?,
+            cold_share: r.within("ColdShare", SHARE)?,
+            warm_within: r.within("WarmWithin", TIME)?,
+            fall_multiple: r.within("FallMultiple", AMOUNT)?,
+            fall_window: r.within("Fall", TIME)?,
         },
-        discovery: match f.get("Discovery").and_then(Value::as_str) {
-            Some("subscribe") => Discovery::Asked,
-            Some("automatic") | None => Discovery::Pushed,
-            Some(other) => return Err(format!("Discovery: {other} is unknown")),
+        discovery: match f.text_or("Discovery", "automatic")? {
+            "subscribe" => Discovery::Asked,
+            "automatic" => Discovery::Pushed,
+            other => return Err(format!("Discovery: {other} is unknown")),
         },
-        weights: match f.get("Weights").and_then(Value::as_str) {
-            Some("nominal" | "rough") => Weights::Listed,
-            Some("live") => Weights::Live,
-            Some("silent") | None => Weights::None,
-            Some(other) => return Err(format!("Weights: {other} is unknown")),
+        weights: match f.text_or("Weights", "silent")? {
+            "nominal" | "rough" => Weights::Listed,
+            "live" => Weights::Live,
+            "silent" => Weights::None,
+            other => return Err(format!("Weights: {other} is unknown")),
         },
-        tick: f.number_or("Tick", 1.0)?,
+        tick: f.within_or("Tick", TIME, 1.0)?,
     };
     Ok(Told {
         settings,
         classes: class_names,
         tenants: tenant_names,
         longest,
-        keepalive: l.number_or("Keepalive", 15_000.0)?,
-        open_cap: l.number_or("OpenCap", 20_000.0)? as usize,
-        weights: weights.collect::<Result<_, WireError>>()?,
+        keepalive: l.within_or("Keepalive", TIME, 15_000.0)?,
+        open_cap: l.within_or("OpenCap", COUNT, 20_000.0)? as usize,
+        weights: factors.collect::<Result<_, WireError>>()?,
         bans: bans.collect::<Result<_, WireError>>()?,
     })
 }
@@ -291,11 +367,11 @@
         let batch: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
         let f = Fields::of(&batch, "batch")?;
         let now = f.number("Time")?;
-        let round = whole(f.need("round")?, "round")?;
+        let round = f.whole("round")?;
         let mut parts = Vec::new();
         for part in f.list("parts")? {
             let p = Fields::of(part, "parts")?;
-            let number = whole(p.need("I")?, "I")?;
+            let number = p.whole("I")?;
             let mut steps = Vec::new();
             for input in p.list("input")? {
                 self.input(now, number, list(input, "input")?, &mut steps)?;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -117,7 +117,7 @@
         (with("Weights", json!("heavy")), "Weights: heavy is unknown"),
         (with("Discovery", json!("gossip")), "Discovery: gossip is unknown"),
         (with("Tick", json!("2")), "Tick: number expected"),
-        (with("Tick", json!(-2)), "tick: -2"),
+        (with("Tick", json!(-2)), "Tick: -2 is not a time"),
         (after(json!(["SUBMIT", 1, "sell", "west", null, 900.0, 0, 0])), "Band: unknown"),
         (after(json!(["SUBMIT", "x", "buy", "west", null, 900.0, 0, 0])), "Corr: whole number expected"),
         (after(json!(["RESPONSE", 1, 0, 11, "maybe", 1.0, false, null])), "outcome: maybe is unknown"),
--- a/tests/agreed.rs
+++ b/tests/agreed.rs
@@ -145,6 +145,40 @@
     until_served(&node, 1);
 }
 
+/// A refusal of a node that is held said when to come back by the settings of its start, also where the policy agreed
+/// since has refusals say nothing.
+#[test]
+fn a_held_node_refuses_by_the_policy_that_it_judged_by_last() {
+    let group = Group::new();
+    let (_registry, config) = member(&group);
+    let node = Node::ready(&config);
+    let mut client = Client::to(&node);
+    let mut held = |epoch: u64| {
+        group.stage(json!({"Limits": {"AttemptsCap": 2}}));
+        group.cut(true, true);
+        let mut refused = None;
+        until("its promise has passed", || {
+            let heard = client.ask(&request("look", "t", 10_000));
+            refused = (heard.status() == 503).then_some(heard);
+            refused.is_some()
+        });
+        group.end(false);
+        group.cut(false, false);
+        until("it serves again", || {
+            let heard = client.ask(&request("look", "t", 10_000));
+            heard.header("x-policy-epoch") == Some(epoch.to_string().as_str())
+        });
+        refused.and_then(|heard| heard.header("retry-after").map(str::to_owned))
+    };
+    assert_eq!(held(0).as_deref(), Some("0.500"));
+    group.change(json!({"Limits": {"MaxRetryAfter": 70}}));
+    until("it is judged by", || node.epochs().contains(&1));
+    assert_eq!(held(1).as_deref(), Some("0.070"));
+    group.change(json!({"Limits": {"RetryAfter": false}}));
+    until("it is judged by", || node.epochs().contains(&2));
+    assert_eq!(held(2), None);
+}
+
 /// The first request after a stop that outlasted the promise finds it over.
 #[test]
 fn a_process_that_was_stopped_takes_nothing_until_it_knows() {
