See clients leave behind unread bytes, and end in order and in bounded time

Cause 1: while it has bytes that came behind the request, hyper does not look for the end behind them (mid_message_detect_eof returns early), and it reads nothing of a long body that waits for a server. A client that sent many commands, or half of a long body, and went, was kept waiting for to its deadline, and its commands were sent on. Sock::left waits for the end of reading, whatever lies before it. Cause 2: empty_backlog went on as long as connections came within 20 ms of each other, and an answer read slowly had no end: SIGTERM with such clients never ended the node. Now 0.1 s, and 10 s after SIGKILL was due. Cause 3: a connection that had been accepted and waited for room was dropped with the accepting at SIGTERM. Cause 4: an answer without a length that was not read for 10 s was closed in order, as if whole. Now it is reset. Cause 5, read and not forced: between the decision to close and the close itself a request could be taken and dropped (select in random order), or come unread and reset the connection. Now nothing is read after the decision, and the close ends sending first and reads what comes; close_unanswered lets what has just been answered be read behind. A connection's task keeps no 16 KiB for that any more, and a flood that is read for nobody yields.

--- a/src/main.rs
+++ b/src/main.rs
@@ -27,12 +27,16 @@
 
 /// How long connections still come after SIGTERM, where no other process takes them.
 const ACCEPT: Duration = Duration::from_millis(500);
+/// How long what has come by then may take to be accepted.
+const BACKLOG: Duration = Duration::from_millis(100);
 /// SIGKILL comes no sooner than the longest deadline, which counts as 3 s at most, and this after SIGTERM.
 const KILL_AFTER: Duration = Duration::from_millis(700);
 const LONGEST: Duration = Duration::from_secs(3);
 /// How long before that the node closes what is still idle, and fails what is still open.
 const CLOSE_BEFORE: Duration = Duration::from_millis(700);
 const FAIL_BEFORE: Duration = Duration::from_millis(300);
+/// How long after that the node ends, if nobody has killed it: however slowly an answer comes, or is read.
+const LAST: Duration = Duration::from_secs(10);
 /// How long the last beat may take, which closes the session with the control group.
 const LEAVE: Duration = Duration::from_millis(500);
 /// How often idle connections are looked at, and a line on the node's state is logged.
@@ -177,6 +181,7 @@
     let longest = Duration::try_from_secs_f64(node.config.told.longest / 1000.0).unwrap_or(LONGEST);
     let kill = told + longest.min(LONGEST) + KILL_AFTER;
     let mut close_idle = told;
+    clients.serve_waiting();
     if node.config.inherited.is_some() {
         // New connections are the successor's, and what they need of the descriptors too. Clients go over to it
         // with the answers that close; an idle connection that is closed may cross a request.
@@ -187,7 +192,9 @@
         close_idle = kill - CLOSE_BEFORE;
     } else {
         let _ = tokio::time::timeout(ACCEPT, clients.accept(&listener)).await;
-        clients.empty_backlog(&listener).await;
+        clients.serve_waiting();
+        // They may come without end.
+        let _ = tokio::time::timeout(BACKLOG, clients.empty_backlog(&listener)).await;
         drop(listener);
     }
     // Whoever reads slowly gets its answer until SIGKILL comes: to end before would be to lose it.
@@ -199,6 +206,9 @@
             node.fail_open();
             clients.close_unanswered();
         }
+        if Instant::now() >= kill + LAST {
+            clients.close_all();
+        }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -3,7 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -78,13 +81,15 @@
     open: RefCell<HashMap<u64, Rc<Client>>>,
     last: Cell<u64>,
     freed: Notify,
+    /// One that was accepted and waits for room.
+    waiting: Cell<Option<TcpStream>>,
 }
 
 impl Clients {
     /// No connections yet.
     pub fn new(node: Rc<Node>) -> Rc<Self> {
         let (open, last, freed) = (RefCell::default(), Cell::new(0), Notify::new());
-        Rc::new(Self { node, open, last, freed })
+        Rc::new(Self { node, open, last, freed, waiting: Cell::default() })
     }
 
     /// How many connections there are.
@@ -103,12 +108,14 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    // Room is made once it is needed, and never by a connection that has just come.
+                    // Room is made once it is needed, and never by a connection that has just come. Where accepting
+                    // ends meanwhile, that one is still served.
+                    self.waiting.set(Some(stream));
                     while self.count() >= self.node.client_connections() && !self.evict(true) {
                         // One that is busy now may be idle soon, which nobody tells.
                         let _ = timeout(EXHAUSTED, self.freed.notified()).await;
                     }
-                    self.serve(stream);
+                    self.serve_waiting();
                 }
                 Err(error) => {
                     // Out of descriptors, as a rule: what is idle makes room, and the backlog waits.
@@ -132,6 +139,13 @@
         }
     }
 
+    /// Serves the connection that waits for room, if there is one.
+    pub fn serve_waiting(self: &Rc<Self>) {
+        if let Some(stream) = self.waiting.take() {
+            self.serve(stream);
+        }
+    }
+
     /// Closes connections on which a request's head takes too long to come, or an answer is not read.
     pub fn sweep(&self) {
         self.close(|sock, phase, since| match phase {
@@ -149,9 +163,19 @@
         self.close(idle);
     }
 
-    /// Closes all connections on which no answer is on its way.
+    /// Closes all connections on which no answer is on its way; behind one that has just been written the connection
+    /// is still read for a moment.
     pub fn close_unanswered(&self) {
-        self.close(|_, phase, _| !matches!(phase, Phase::Busy | Phase::Answering));
+        self.close(|_, phase, since| match phase {
+            Phase::Busy | Phase::Answering => false,
+            Phase::Ending => since.elapsed() >= FRESH,
+            _ => true,
+        });
+    }
+
+    /// Closes all connections.
+    pub fn close_all(&self) {
+        self.close(|_, _, _| true);
     }
 
     fn close(&self, which: impl Fn(&Sock, Phase, Instant) -> bool) {
@@ -182,6 +206,7 @@
             (number, open.get(&number).cloned())
         };
         if let Some(client) = client {
+            client.sock.enter(Phase::Ending);
             client.close.notify_one();
         }
         self.open.borrow_mut().remove(&number);
@@ -211,20 +236,53 @@
             .max_buf_size(HEAD_MOST)
             .auto_date_header(false)
             .serve_connection(Io(client.sock.clone()), service);
+        let sock = &client.sock;
         let talk = async {
-            let ended = conn.await;
-            if ended.is_err() && client.sock.phase().0 == Phase::Answering {
+            let broke = {
+                let (mut conn, mut left) = (pin!(conn), pin!(sock.left()));
+                let mut gone = false;
+                poll_fn(|cx| {
+                    if let Poll::Ready(ended) = conn.as_mut().poll(cx) {
+                        return Poll::Ready(ended.is_err());
+                    }
+                    // While it has bytes that came behind the request, hyper does not look for the end behind them.
+                    gone = gone || left.as_mut().poll(cx).is_ready();
+                    if gone && matches!(sock.phase().0, Phase::Busy | Phase::Answering) {
+                        return Poll::Ready(true);
+                    }
+                    Poll::Pending
+                })
+                .await
+            };
+            if broke && sock.phase().0 == Phase::Answering {
                 // Whatever the answer's framing, its end must not look like a whole one's.
-                client.sock.reset();
+                sock.reset();
                 return;
             }
-            client.sock.enter(Phase::Ending);
-            let _ = timeout(LINGER, client.sock.linger()).await;
+            sock.enter(Phase::Ending);
+            let _ = timeout(LINGER, sock.linger()).await;
         };
         tokio::select! {
-            () = talk => {}
+            // Once it is decided that it closes, nothing more is read that would be lost then.
+            biased;
             () = client.close.notified() => {}
+            () = talk => return,
+        }
+        match sock.phase().0 {
+            Phase::Answering => return sock.reset(),
+            Phase::Ending => {}
+            _ => {
+                // A request may come in this very moment: nobody has read it, and its client is told so in order.
+                sock.enter(Phase::Ending);
+                tokio::select! {
+                    biased;
+                    () = client.close.notified() => {}
+                    _ = timeout(FRESH, sock.linger()) => return,
+                }
+            }
         }
+        // It makes room now.
+        sock.finish();
     }
 }
 
--- a/src/net/sock.rs
+++ b/src/net/sock.rs
@@ -11,6 +11,7 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 use super::bodies::{Fate, Outgoing, Passage, HELD_MOST};
@@ -256,22 +257,49 @@
         matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Waits until the other side has closed or reset the connection, or has ended its sending, also where bytes
+    /// that nobody reads now lie before that.
+    pub async fn left(&self) {
+        // Whoever waits for reading is woken by those bytes; whoever waits for urgent data, which nobody here
+        // asks the kernel for, only by the end of reading.
+        let _ = self.stream.ready(Interest::PRIORITY).await;
+    }
+
     /// Says that nothing more will be written, and reads what still comes until the other side closes.
     /// Closing a socket with unread bytes resets it, and the reset can overtake the answer.
     pub async fn linger(&self) {
         if SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write).is_err() {
             return;
         }
-        let mut sink = [0; CHUNK];
         while self.stream.readable().await.is_ok() {
-            match self.stream.try_read(&mut sink) {
+            match self.discard() {
                 Ok(0) => return,
+                // Whoever sends without end holds up nobody else.
+                Ok(_) => tokio::task::yield_now().await,
                 Err(e) if e.kind() != io::ErrorKind::WouldBlock => return,
-                _ => {}
+                Err(_) => {}
             }
         }
     }
 
+    /// Reads for nobody. The bytes lie on the stack: a connection that is kept open keeps no room for them.
+    fn discard(&self) -> io::Result<usize> {
+        self.stream.try_read(&mut [0; CHUNK])
+    }
+
+    /// Says that nothing more will be written, and reads what has come, for nobody: for a connection that has to be
+    /// closed at once. Asks the kernel, like [`Self::quiet`].
+    pub fn finish(&self) {
+        let sock = SockRef::from(&self.stream);
+        let mut sink = [MaybeUninit::uninit(); CHUNK];
+        // Of more than the kernel keeps there the reset is the sender's own doing.
+        let mut rounds = KERNEL_MOST / CHUNK;
+        let _ = sock.shutdown(std::net::Shutdown::Write);
+        while rounds > 0 && sock.recv(&mut sink).is_ok_and(|n| n > 0) {
+            rounds -= 1;
+        }
+    }
+
     /// Was what came back one head and a body of this length, or else chunks up to the last? More than that
     /// would be taken for the answer to the next request.
     pub fn heard_just(&self, body: Option<u64>) -> bool {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -507,6 +507,12 @@
         self.log.lock().expect("no panic").iter().any(|l| l.contains(words))
     }
 
+    /// The last of the lines on its state, which come every half second; empty before the first.
+    pub fn state(&self) -> String {
+        let lines = self.log.lock().expect("no panic");
+        lines.iter().rfind(|l| l.contains(" clients, ")).cloned().unwrap_or_default()
+    }
+
     /// The epochs that it has judged by, in their order.
     pub fn epochs(&self) -> Vec<u64> {
         let lines = self.log.lock().expect("no panic");
@@ -674,4 +680,27 @@
     pub fn ended(&mut self) -> bool {
         matches!(self.from.read(&mut [0; 64]), Ok(0))
     }
+
+    /// Leaves; one that only ends its sending still reads what comes.
+    pub fn leave(self, how: Leave) -> Option<Self> {
+        match how {
+            Leave::Close => None,
+            Leave::Reset => {
+                SockRef::from(&self.out).set_linger(Some(Duration::ZERO)).expect("a socket");
+                None
+            }
+            Leave::HalfClose => {
+                self.out.shutdown(std::net::Shutdown::Write).expect("it is connected");
+                Some(self)
+            }
+        }
+    }
+}
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+pub enum Leave {
+    Close,
+    Reset,
+    HalfClose,
 }
