--- a/src/wire.rs
+++ b/src/wire.rs
@@ -72,7 +72,7 @@
 const TIME_ABOVE: Bound = (|n| n > 0.0 && n <= DAY, "a time above 0, up to 86,400,000 ms");
 const COUNT: Bound = (|n| n >= 1.0 && n.fract() == 0.0, "a whole number from 1 on");
 const NODES: Bound =
-    (|n| n >= 1.0 && n <= NODES_MOST && n.fract() == 0.0, "a whole number from 1 to 100,000");
+    (|n| (1.0..=NODES_MOST).contains(&n) && n.fract() == 0.0, "a whole number from 1 to 100,000");
 const FACTOR: Bound = (|n| SERVER_WEIGHTS.contains(&n), "a factor from 0.01 to 100");
 
 /// The longest time that settings may name.
