Take a list over several lines, with its last brace, and call again in order

A message is a JSON object now, over however many lines, whole with its last brace; on whole answers too, whose end may come late or never (3.2 s of silence before, list lost). - A call that was refused beside one that hung was made again at once, and refused at once (`begin_at` in follower.rs went by the newest call that was left): a storm for as long as the other hung. The time of the last call counts now. - Watches as new as ours and whole lists that lag had each other asked for at once, in turns; there is a pause now. - A flood of short lines was moved up once for each line (`Lines::next`). - A saved list that did not say "whole" counted as discovery's answer: where lists are asked for, nobody ever asked. - An empty line made a node without a list ready. - SIGHUP with the same address did nothing, also where the address had been another meanwhile; it asks anew. - `discovery` with port 0 was taken, at the start and at SIGHUP. - Words of a list could begin lines of the log and be megabytes of it, and 256 lines may wait: a line is one of 1,000 characters at the most.

--- a/crates/endpoints/src/follower.rs
+++ b/crates/endpoints/src/follower.rs
@@ -31,8 +31,8 @@
 
 /// How long after a call has ended the next is begun where lists are pushed.
 const AGAIN: Ms = 100;
-/// How long a call may be unanswered until another one is made beside it, which makes five at most: within the grace
-/// of a drain, as what the agent has counts at once when it speaks again.
+/// How long a call may be unanswered until another one is made beside it, which makes five at most, and ten where others
+/// fail: within the grace of a drain, as what the agent has counts at once when it speaks again.
 const BESIDE: Ms = 200;
 /// The same for a service that is asked, after a move: it may have a queue, in which a call's place is worth keeping.
 const BESIDE_MOVED: Ms = 2000;
@@ -106,8 +106,8 @@
     /// It was answered, but not by the list.
     #[error("status {0}")]
     Status(u16),
-    /// A watch ended.
-    #[error("the watch ended")]
+    /// Its answer ended.
+    #[error("the answer ended")]
     Ended,
     /// Its connection failed.
     #[error("{0}")]
@@ -162,7 +162,9 @@
     book: Book,
     calls: Vec<Call>,
     last_id: CallId,
-    /// When the next call is begun while none is out.
+    /// When the last call was begun.
+    begun: Ms,
+    /// When the next is begun, since one has ended.
     again: Option<Ms>,
     /// Only the whole list will do.
     whole: bool,
@@ -183,6 +185,7 @@
             book: Book::new(saved),
             calls: Vec::new(),
             last_id: 0,
+            begun: now,
             again: (mode == Mode::Pushed).then_some(now),
             whole: false,
             moved: false,
@@ -245,13 +248,18 @@
 
     /// When the next call is begun beside those that are out, or while none is.
     fn begin_at(&self) -> Option<Ms> {
-        let Some(newest) = self.calls.last() else { return self.again };
+        if self.calls.is_empty() {
+            return self.again;
+        }
         let open = self.calls.iter().any(|c| matches!(c.stage, Stage::Open { .. }));
         let beside = match self.mode {
             Mode::Pushed => Some(BESIDE),
             Mode::Asked => self.moved.then_some(BESIDE_MOVED),
         };
-        beside.filter(|_| !open).map(|after| newest.begun + after)
+        // One that was refused is not the newest any more: its time counts all the same, or the next would be begun at
+        // once, and refused at once.
+        let due = beside.filter(|_| !open).map(|after| self.begun + after)?;
+        Some(self.again.map_or(due, |again| again.min(due)))
     }
 
     /// When an older list is to be confirmed, if the whole list is not being asked for anyway.
@@ -281,6 +289,7 @@
 
     fn begin(&mut self, now: Ms) {
         self.last_id += 1;
+        (self.begun, self.again) = (now, None);
         let (id, whole) = (self.last_id, self.whole);
         let (stage, lines) = (Stage::Connecting, Lines::default());
         self.calls.push(Call { id, whole, begun: now, stage, lines, silent: now, heard: false });
@@ -318,18 +327,22 @@
         if let Err(error) = call.lines.push(bytes) {
             return self.fail(now, id, error.into());
         }
-        // A line may end the call; a whole list is one line of any form, and complete at its end.
-        while let Some(line) = self.call(id).filter(|c| !c.whole).and_then(|c| c.lines.next()) {
+        // A line may end the call.
+        while let Some(line) = self.call(id).and_then(|c| c.lines.next()) {
             self.line(now, id, &line);
         }
     }
 
     fn line(&mut self, now: Ms, id: CallId, line: &[u8]) {
-        self.heard = Some(now);
         let Some(call) = self.call(id) else { return };
+        if call.whole && line.is_empty() {
+            // Blanks before the list are no list.
+            return;
+        }
         call.stage = Stage::Open { byte: now + SILENCE, line: now + LINE };
         call.silent = now;
         let heard = std::mem::replace(&mut call.heard, true);
+        self.heard = Some(now);
         if !line.is_empty() {
             match Update::read(line) {
                 Ok(update) => self.take(now, id, update),
@@ -341,8 +354,18 @@
     }
 
     fn take(&mut self, now: Ms, id: CallId, update: Update) {
+        if let Some(place) = self.calls.iter().position(|c| c.id == id && c.whole) {
+            // Whole with its last brace: what ends the answer may come late, or not at all.
+            self.calls.remove(place);
+            self.actions.push(Action::Drop(id));
+            (self.whole, self.moved, self.again) = (false, false, Some(now));
+        }
         let taken = self.book.take(update, id, now);
         self.actions.push(taken.news.map_or(Action::Alive, Action::Take));
+        if self.calls.is_empty() && self.book.confirm_at().is_some() {
+            // Where watches are as new as ours, and whole lists lag, each would have the other asked for at once.
+            self.again = Some(now + self.pause());
+        }
         if taken.ask_whole {
             self.whole = true;
             self.restart(now);
@@ -350,18 +373,16 @@
     }
 
     fn end(&mut self, now: Ms, id: CallId) {
-        let Some(place) = self.calls.iter().position(|c| c.id == id) else { return };
-        if !self.calls[place].whole {
-            return self.fail(now, id, Trouble::Ended);
-        }
-        match Update::read(self.calls[place].lines.rest()) {
-            Ok(update) => {
-                self.calls.remove(place);
-                (self.whole, self.moved) = (false, false);
-                (self.again, self.heard) = (Some(now), Some(now));
-                self.take(now, id, update);
-            }
-            Err(error) => self.fail(now, id, error.into()),
+        let Some(call) = self.call(id).filter(|c| c.whole) else { return self.fail(now, id, Trouble::Ended) };
+        let cut_off = Update::read(call.lines.rest()).err();
+        self.fail(now, id, cut_off.map_or(Trouble::Ended, Trouble::Unreadable));
+    }
+
+    /// How long after a call has ended the next may be begun.
+    fn pause(&self) -> Ms {
+        match self.mode {
+            Mode::Pushed => AGAIN,
+            Mode::Asked => PAUSE,
         }
     }
 
@@ -371,10 +392,10 @@
         let call = self.calls.remove(place);
         self.actions.push(Action::Drop(id));
         self.whole |= matches!(why, Trouble::Unreadable(_));
+        let soon = now + self.pause();
         self.again = Some(match self.mode {
-            Mode::Pushed => now + AGAIN,
-            Mode::Asked if self.moved => now + PAUSE,
-            Mode::Asked => (now + PAUSE).max(call.silent + LATEST),
+            Mode::Asked if !self.moved => soon.max(call.silent + LATEST),
+            Mode::Asked | Mode::Pushed => soon,
         });
         if self.mode == Mode::Asked || now >= self.tell {
             self.tell = now + TELL;
--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -126,17 +126,62 @@
     }
 }
 
-/// Cuts a stream into lines.
+/// Cuts a stream into messages: a line each, or a JSON object that stands over several. An object is whole with its last
+/// brace, whatever comes of the line's end; what is no object, or has a line's end in a string, ends with its line.
 #[derive(Debug, Default)]
 pub struct Lines {
     held: Vec<u8>,
+    /// Where the message that is coming begins, and up to where it has been looked at.
+    start: usize,
+    seen: usize,
+    form: Form,
+}
+
+/// What the message that is coming is, as far as it has come.
+#[derive(Debug, Default)]
+enum Form {
+    #[default]
+    Blank,
+    Object {
+        depth: usize,
+        string: bool,
+        escaped: bool,
+    },
+    Other,
+}
+
+impl Form {
+    /// Takes in a byte; true where the message ends with it.
+    fn ends(&mut self, byte: u8) -> bool {
+        match self {
+            Self::Blank if byte == b'{' => *self = Self::Object { depth: 1, string: false, escaped: false },
+            Self::Blank if !byte.is_ascii_whitespace() => *self = Self::Other,
+            Self::Blank | Self::Other => return byte == b'\n',
+            Self::Object { escaped, .. } if *escaped => *escaped = false,
+            Self::Object { string, escaped, .. } if *string => match byte {
+                b'"' => *string = false,
+                b'\\' => *escaped = true,
+                _ => return byte == b'\n',
+            },
+            Self::Object { depth, string, .. } => match byte {
+                b'"' => *string = true,
+                b'{' | b'[' => *depth += 1,
+                b'}' | b']' => {
+                    *depth -= 1;
+                    return *depth == 0;
+                }
+                _ => {}
+            },
+        }
+        false
+    }
 }
 
 impl Lines {
     /// Takes in what came.
     ///
     /// # Errors
-    /// Where a line would be longer than [`LINE_MOST`].
+    /// Where a message would be longer than [`LINE_MOST`].
     pub fn push(&mut self, data: &[u8]) -> Result<(), Unreadable> {
         if self.held.len() + data.len() > LINE_MOST {
             return Err(Unreadable::TooLong);
@@ -145,24 +190,29 @@
         Ok(())
     }
 
-    /// What came and has not ended in a line yet.
+    /// What came and is no whole message yet.
     pub fn rest(&self) -> &[u8] {
-        &self.held
+        &self.held[self.start..]
     }
 }
 
 impl Iterator for Lines {
     type Item = Vec<u8>;
 
-    /// The next whole line, without its end.
+    /// The next whole message, without the end of its line.
     fn next(&mut self) -> Option<Vec<u8>> {
-        let end = self.held.iter().position(|b| *b == b'\n')?;
-        let rest = self.held.split_off(end + 1);
-        let mut line = std::mem::replace(&mut self.held, rest);
-        while line.last().is_some_and(u8::is_ascii_whitespace) {
-            line.pop();
+        while let Some(byte) = self.held.get(self.seen) {
+            self.seen += 1;
+            if self.form.ends(*byte) {
+                let message = self.held[self.start..self.seen].trim_ascii_end().to_vec();
+                (self.start, self.form) = (self.seen, Form::default());
+                return Some(message);
+            }
         }
-        Some(line)
+        // Once for all that was whole: a flood of short lines would else be moved up again and again.
+        self.held.drain(..self.start);
+        (self.start, self.seen) = (0, self.held.len());
+        None
     }
 }
 
--- a/crates/endpoints/tests/clock.rs
+++ b/crates/endpoints/tests/clock.rs
@@ -217,8 +217,8 @@
 
 #[test]
 fn a_list_that_has_moved_is_asked_for_within_4_s() {
-    holds(Mode::Pushed, true, [200, 100, 200, 100, 100, 3300, 100, 3300, 3300, 2300, 3300]);
-    holds(Mode::Asked, true, [1500, 500, 2000, 500, 500, 3700, 500, 3700, 3700, 2700, 3700]);
+    holds(Mode::Pushed, true, [200, 100, 200, 100, 100, 3300, 100, 3300, 3300, 2300, 100]);
+    holds(Mode::Asked, true, [1500, 500, 2000, 500, 500, 3700, 500, 3700, 3700, 2700, 500]);
 }
 
 /// A service that was restored to an older state is asked for its whole list again after a time, and not storming.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -231,7 +231,16 @@
 /// Names what is wrong.
 pub fn moved() -> Result<SocketAddr, ConfigError> {
     let moved: Moved = read(file()?, |_| None)?;
-    moved.discovery.map(|Address(at)| at).ok_or(ConfigError::Missing { field: "discovery" })
+    service(moved.discovery)
+}
+
+/// Where discovery is, if somebody can be reached there.
+fn service(at: Option<Address>) -> Result<SocketAddr, ConfigError> {
+    let Address(at) = at.ok_or(ConfigError::Missing { field: "discovery" })?;
+    match at.port() {
+        0 => Err(fault("discovery", format!("a port above 0 expected, not {at}"))),
+        _ => Ok(at),
+    }
 }
 
 fn file() -> Result<Map<String, Value>, ConfigError> {
@@ -266,7 +275,7 @@
     let limits = fields.limits.unwrap_or_default();
     let known = fields.known.map(Update::checked).transpose();
     let Address(listen) = fields.listen.ok_or(missing("listen"))?;
-    let Address(discovery) = fields.discovery.ok_or(missing("discovery"))?;
+    let discovery = service(fields.discovery)?;
     let Hex(seed) = fields.seed.ok_or(missing("seed"))?;
     let told = told(&fields.settings).map_err(|e| ConfigError::Settings(e.to_string()))?;
     let control = fields.control.map(|group| control(group, listen, fields.state_dir, fields.settings));
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -7,6 +7,8 @@
 
 /// Lines that may wait to be written; further ones are dropped, and counted.
 const WAITING: usize = 256;
+/// The longest line, in characters: words from outside may be of any length.
+const LONGEST: usize = 1000;
 /// Lines on single requests and attempts that may be written between two calls of [`refill`].
 const TROUBLES: u32 = 20;
 
@@ -34,7 +36,12 @@
 
 /// Logs one line, or drops it where the log can't keep up.
 pub fn line(words: String) {
-    tracing::info!("{words}");
+    tracing::info!("{}", one_line(&words));
+}
+
+/// What others wrote is in some of the words: it neither begins a line of its own nor makes one without end.
+fn one_line(words: &str) -> String {
+    words.chars().take(LONGEST).map(|c| if c.is_control() { ' ' } else { c }).collect()
 }
 
 /// Logs what went badly for one request: some of many tell as much as all, and cost a busy node less.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -210,7 +210,8 @@
         hands: Box<dyn Hands>,
     ) -> Result<Rc<Self>, SettingsError> {
         let balancer = Balancer::new(settings(&config.told), config.seed)?;
-        let known = config.known.take();
+        // What is saved is all that there was, whatever form it says that it has.
+        let known = config.known.take().map(|saved| Update { whole: true, ..saved });
         let mode = match config.told.settings.discovery {
             Discovery::Pushed => Mode::Pushed,
             Discovery::Asked => Mode::Asked,
@@ -747,11 +748,12 @@
                     }
                 }
                 Do::Take(update) => {
-                    self.informed.set(true);
+                    let whole = update.whole;
                     self.take_list(update, false);
+                    self.inform(whole);
                 }
                 Do::Alive => {
-                    self.informed.set(true);
+                    self.inform(false);
                     self.feed(Event::ListChange(Vec::new()));
                 }
                 Do::Failed(why) => {
@@ -762,12 +764,18 @@
         }
     }
 
-    /// Discovery has moved: what is followed at the old address ends.
+    /// Discovery has spoken. No news is no list: who has none by then is not ready by it.
+    fn inform(&self, whole: bool) {
+        let listed = whole || !self.state.borrow().hosts.is_empty();
+        self.informed.set(self.informed.get() || listed);
+    }
+
+    /// Discovery is there from now on: what is followed ends, also where the address is the same. It may have been
+    /// another one in between, and from the signal on there is one clock for all that it has to tell.
     pub fn move_discovery(self: &Rc<Self>, to: SocketAddr) {
-        if self.discovery.replace(to) != to {
-            log::line(format!("discovery: moved to {to}"));
-            self.discover(endpoints::Event::Moved);
-        }
+        let from = self.discovery.replace(to);
+        log::line(format!("discovery: {} {to}", if from == to { "asked anew at" } else { "moved to" }));
+        self.discover(endpoints::Event::Moved);
     }
 
     fn take_list(self: &Rc<Self>, update: Update, saved: bool) {
@@ -780,8 +788,7 @@
                 }
             }
             let entries = update.hosts.into_iter().filter_map(|h| self.enter(&mut state.hosts, h)).collect();
-            for (server, host) in state.hosts.iter().filter(|(_, h)| h.state == Listed::Gone) {
-                let _ = host;
+            for (server, _) in state.hosts.iter().filter(|(_, h)| h.state == Listed::Gone) {
                 self.pool.forget(*server);
             }
             state.hosts.retain(|_, h| h.state != Listed::Gone);
