Force on real sockets what crosses list watches, moves and starts

The harness has an `Agent` whose calls the test answers itself; `run` gives up on a program that comes up all the same.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -7,6 +7,7 @@
 use std::os::unix::net::UnixStream;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -331,6 +332,77 @@
     }
 }
 
+/// Discovery whose calls the test answers itself, one by one and byte by byte.
+pub struct Agent {
+    pub address: SocketAddr,
+    calls: Receiver<Call>,
+}
+
+/// A call that came; it stays open until it is dropped.
+pub struct Call {
+    pub path: String,
+    out: TcpStream,
+}
+
+impl Agent {
+    pub fn new() -> Self {
+        Self::on(TcpListener::bind("127.0.0.1:0").expect("a port"))
+    }
+
+    pub fn on(listener: TcpListener) -> Self {
+        let address = listener.local_addr().expect("bound");
+        let (tell, calls) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let tell = tell.clone();
+                std::thread::spawn(move || {
+                    stream.set_nodelay(true).ok()?;
+                    let out = stream.try_clone().ok()?;
+                    let path = read_message(&mut BufReader::new(stream), 0)?.path().to_string();
+                    tell.send(Call { path, out }).ok()
+                });
+            }
+        });
+        Self { address, calls }
+    }
+
+    /// The next call, waited for.
+    pub fn call(&self) -> Call {
+        self.call_within(PATIENCE).expect("a call")
+    }
+
+    /// The next call, if one comes in time.
+    pub fn call_within(&self, span: Duration) -> Option<Call> {
+        self.calls.recv_timeout(span).ok()
+    }
+}
+
+impl Call {
+    /// Begins an answer in chunks.
+    pub fn head(&mut self) {
+        assert!(self.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    }
+
+    /// Says some words of it; false where the node has gone.
+    pub fn say(&mut self, words: &str) -> bool {
+        self.write(format!("{:x}\r\n{words}\r\n", words.len()).as_bytes())
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) -> bool {
+        self.out.write_all(bytes).is_ok()
+    }
+
+    /// Ends as it should.
+    pub fn end(mut self) {
+        self.write(b"0\r\n\r\n");
+    }
+
+    /// Ends in a reset.
+    pub fn reset(self) {
+        SockRef::from(&self.out).set_linger(Some(Duration::ZERO)).expect("a socket");
+    }
+}
+
 // ---- The node ----
 
 /// A configuration whose classes are `look` (safe), `pay` (keyed) and `slip` (unsafe).
@@ -412,7 +484,14 @@
 
 /// Runs a node that should not come up: its exit code and what it says.
 pub fn run(config: &Value, env: &[(&str, &str)]) -> (Option<i32>, String) {
-    let output = command(config, None).0.envs(env.iter().copied()).output().expect("it runs");
+    let mut child = command(config, None).0.envs(env.iter().copied()).spawn().expect("it runs");
+    let start = Instant::now();
+    while child.try_wait().expect("a child").is_none() && start.elapsed() < PATIENCE {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    // One that came up all the same has no exit code.
+    let _ = child.kill();
+    let output = child.wait_with_output().expect("it ended");
     (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
 }
 
@@ -507,6 +586,11 @@
         self.log.lock().expect("no panic").iter().any(|l| l.contains(words))
     }
 
+    /// All that it has logged.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().expect("no panic").clone()
+    }
+
     /// The epochs that it has judged by, in their order.
     pub fn epochs(&self) -> Vec<u64> {
         let lines = self.log.lock().expect("no panic");
