Have a further keyed attempt be over while servers know its key

May_repeat looked at the begin of a further attempt alone: it was begun up to the last moment of the window (MemorySpan after the first attempt that may have run), with all of the request's time, so that where the window is shorter than that its run could fall outside, and run twice.

Tests in rules.rs pass (45). The new one was seen failing without the mend (over after 198 of 80 ms known), and under a mutant that counts from the newest attempt.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -363,18 +363,25 @@
 
     /// Until when an answer has its full worth, less the way back to the client.
     fn useful_until(&self) -> Millis {
-        (self.asked + self.class().aim - self.set.tick).min(self.deadline)
+        (self.asked + self.class().aim - self.set.tick).min(self.deadline).min(self.known_until())
     }
 
     /// Until when an answer is worth anything.
     fn worth_until(&self) -> Millis {
         if self.class().late_worth > 0.0 {
-            self.deadline
+            self.deadline.min(self.known_until())
         } else {
             self.useful_until()
         }
     }
 
+    /// Until when servers surely know the key of what may have run: a further attempt has to be over by then.
+    fn known_until(&self) -> Millis {
+        let Effect::Keyed { memory, .. } = self.class().effect else { return f64::INFINITY };
+        let ran = self.attempts.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran));
+        ran.map_or(f64::INFINITY, |a| a.sent + memory - self.set.tick)
+    }
+
     /// How much of its aim an attempt took, by which it counts for its server.
     fn part(&self, outcome: Outcome, took: Millis) -> Option<f64> {
         let part = took / self.class().aim;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -828,3 +828,58 @@
     let actions = node.end(id, Outcome::Error);
     assert_eq!(to(&actions), Some(first));
 }
+
+/// The servers of its group forget a key after a while: a further attempt is over by then, or is not begun. What never
+/// ran began no such while.
+#[test]
+fn a_further_keyed_attempt_is_over_while_its_key_is_known() {
+    const KNOWN: f64 = 80.0;
+    let timeout = |actions: &[Action]| {
+        actions.iter().find_map(|a| if let Action::Send { timeout, .. } = a { *timeout } else { None })
+    };
+    for late_worth in [0.0, 0.5] {
+        let fleet = |servers| {
+            let mut set = settings();
+            set.classes[KEYED].late_worth = late_worth;
+            set.classes[KEYED].effect = Effect::Keyed { group: Group::All, memory: KNOWN };
+            Node::fleet(set, servers)
+        };
+        // Usual is a quarter of the aim of 200.
+        for (after, begun) in [(0.0, true), (25.0, true), (31.0, false), (79.0, false)] {
+            for outcome in [Outcome::Error, Outcome::Reset, Outcome::TimedOut] {
+                let mut node = fleet(4);
+                let (id, _) = node.ask(KEYED);
+                node.now += after;
+                let actions = node.end(id, outcome);
+                assert_eq!(sent_to(&actions).is_some(), begun, "{outcome:?} after {after}: {actions:?}");
+                let over = timeout(&actions).map_or(0.0, |timeout| after + timeout);
+                assert!(over < KNOWN, "{outcome:?} after {after}: over after {over}");
+            }
+        }
+        let mut node = fleet(4);
+        let (id, _) = node.ask(KEYED);
+        node.now += 60.0;
+        let actions = node.end(id, Outcome::ConnectFailed);
+        assert!(timeout(&actions).is_some_and(|timeout| timeout > KNOWN), "it never ran: {actions:?}");
+        node.now += 10.0;
+        let actions = node.end(id, Outcome::Error);
+        assert!(timeout(&actions).is_some_and(|timeout| 10.0 + timeout < KNOWN), "{actions:?}");
+        // The key is known from the first of them that may have run.
+        let mut node = fleet(4);
+        let (id, _) = node.ask(KEYED);
+        for spent in [10.0, 20.0] {
+            node.now += 10.0;
+            let actions = node.end(id, Outcome::Error);
+            assert!(timeout(&actions).is_some_and(|timeout| spent + timeout < KNOWN), "{actions:?}");
+        }
+        // Held for want of a server, it is not sent when there is one again.
+        let mut node = fleet(1);
+        let (id, _) = node.ask(KEYED);
+        node.event(Event::Disable(ServerId(0)));
+        let mut actions = node.end(id, Outcome::Error);
+        actions.extend(node.wait(60.0));
+        let returned = node.now - 60_000.0;
+        actions.extend(node.event(Event::Enable { server: ServerId(0), returned }));
+        assert!(sent_to(&actions).is_none() && refused(&actions, id), "{actions:?}");
+    }
+}
