Force what crosses an attempt on its way, and mend what did harm

At fault were, in src/net/servers.rs: - an attempt that may not be cancelled and still connected when its client left was written once the connection came up; - the time told was taken a turn of the loop before the request was written; - what came on a kept connection between its look-up and the request was taken for the answer: looked at once more now (this and the turn above are microseconds wide: no test forces them); - a 200 before the request's last byte was passed on, though a server begins with that byte: it is another's; - a transfer encoding beside a length, twice, or other than plain chunks was passed on as if it had been understood; - the body of an answer that is none was waited for to the attempt's end: after the hold the head tells now; - want of memory here for a long answer counted as the server's error, and three ejected it.

A connection that is there only past the attempt's end could not be forced (the node's wait ends with the signal that wakes it), and has no test.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -557,6 +557,11 @@
         self.feed(Event::Whole { id, deadline: self.clock.at(deadline) });
     }
 
+    /// Does a request still await its final answer?
+    pub fn awaits(&self, id: RequestId) -> bool {
+        self.state.borrow().requests.get(&id).is_some_and(|r| r.answer.is_some())
+    }
+
     /// How many requests await their final answer.
     pub fn open_requests(&self) -> usize {
         self.state.borrow().requests.values().filter(|r| r.answer.is_some()).count()
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,6 +1,5 @@
 //! The way to the servers: attempts and probes, and how each ended.
 
-use std::cell::Cell;
 use std::error::Error;
 use std::future::Future;
 use std::io;
@@ -12,10 +11,10 @@
 
 use hyper::body::Body;
 use hyper::client::conn::http1::Connection;
-use hyper::header::{HeaderName, HeaderValue, CONNECTION};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, StatusCode};
 use tokio::time::{timeout, timeout_at};
-use tulipmount::{Outcome, ServerId};
+use tulipmount::{Outcome, RequestId, ServerId};
 
 use super::bodies::{gather, Cut, Fate, Gathered, Outgoing, Pace, Paced, Passage, Side};
 use super::log;
@@ -38,8 +37,7 @@
 
 /// Makes one attempt and tells the node how it ended. What is left of an answer that has begun is passed on.
 pub async fn attempt(node: Rc<Node>, to: To, asked: Rc<Asked>) {
-    let written = Some(node.metrics.dispatches());
-    let (outcome, reply, rest) = exchange(&node, to.server, to.end, &asked, written).await;
+    let (outcome, reply, rest) = exchange(&node, to.server, to.end, &asked, Some(to.id)).await;
     drop(asked);
     node.attempt_ended(to.id, to.attempt, outcome, reply);
     if let Some(rest) = rest {
@@ -84,13 +82,14 @@
     }
 }
 
-/// One request to a server, and how it ended; with what is still to come of an answer that has begun.
+/// One request to a server, and how it ended; with what is still to come of an answer that has begun. `id` is that
+/// of the request, `None` for a probe.
 async fn exchange(
     node: &Rc<Node>,
     server: ServerId,
     end: Instant,
     asked: &Asked,
-    written: Option<Rc<Cell<u64>>>,
+    id: Option<RequestId>,
 ) -> (Outcome, Option<Reply>, Option<Rest>) {
     let over = |outcome| (outcome, None, None);
     let time = end.saturating_duration_since(Instant::now());
@@ -110,13 +109,15 @@
             Ok(link) => link,
             Err(outcome) => return over(outcome),
         };
-        if node.dial(server) != Some(dial) {
+        // The connection may have come up late: where the server drains by now, or nobody waits for the answer any
+        // more.
+        let unwanted = id.is_some_and(|id| !node.awaits(id));
+        if node.dial(server) != Some(dial) || unwanted {
             return over(Outcome::NotSent);
         }
         let Some(body) = asked.body.outgoing() else { return over(Outcome::NotSent) };
         let (sock, passage, idle) = (link.sock.clone(), body.passage(), link.since.elapsed());
-        sock.begin(Length::of(&body), written.clone());
-        let request = request(asked, body, end);
+        sock.begin(Length::of(&body), id.map(|_| node.metrics.dispatches()));
         let given_up = async {
             match &passage {
                 None => tokio::time::sleep_until(end.into()).await,
@@ -128,7 +129,7 @@
         };
         let ended = tokio::select! {
             biased;
-            heard = converse(node, &mut link, request, time / HOLD_SHARE) => Some(heard),
+            heard = converse(node, &mut link, || request(asked, body, end), time / HOLD_SHARE) => Some(heard),
             () = given_up => None,
         };
         let (any, whole) = (sock.any(), sock.whole());
@@ -145,6 +146,8 @@
                 over(Outcome::Reset)
             }
             Some(Err(Broken::Garbled)) if whole => over(Outcome::Error),
+            // It may have run, and its server is not to blame.
+            Some(Err(Broken::NoRoom)) if whole => over(Outcome::Cancelled),
             Some(Err(_)) => over(Outcome::ConnectFailed),
             None if whole => over(Outcome::TimedOut),
             None => over(Outcome::NotSent),
@@ -175,7 +178,8 @@
 struct Heard {
     status: StatusCode,
     headers: HeaderMap,
-    body: Gathered,
+    /// `None` where it did not come.
+    body: Option<Gathered>,
     /// Its length; `None` for chunks.
     length: Option<u64>,
     keep: bool,
@@ -192,23 +196,23 @@
         let Self { status, headers, body, length, keep: keeps } = self;
         let away = headers.get(TURNED_AWAY).is_some_and(|v| v == "1");
         let rest = match &body {
-            Gathered::Whole(_) => {
-                if keeps {
+            Some(Gathered::Coming(coming)) => {
+                link.sock.narrow();
+                Some(Rest { link, dial, passage: coming.passage(), length, keep: keeps })
+            }
+            body => {
+                if keeps && body.is_some() {
                     keep(node, server, dial, link, length);
                 }
                 None
             }
-            Gathered::Coming(coming) => {
-                link.sock.narrow();
-                Some(Rest { link, dial, passage: coming.passage(), length, keep: keeps })
-            }
         };
-        match status {
-            StatusCode::OK => (Outcome::Done, Some(Reply { headers, body }), rest),
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if away => {
+        match (status, body) {
+            (StatusCode::OK, Some(body)) => (Outcome::Done, Some(Reply { headers, body }), rest),
+            (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if away => {
                 (Outcome::Full, None, None)
             }
-            status => {
+            (status, _) => {
                 log::trouble(|| format!("answered {status}"));
                 // A request with an id that no client sent: no server would take it, and none is to blame.
                 let at_fault = status == StatusCode::BAD_REQUEST;
@@ -223,6 +227,8 @@
     Link,
     /// What came can't be read.
     Garbled,
+    /// There was no room here to pass it on.
+    NoRoom,
 }
 
 impl From<hyper::Error> for Broken {
@@ -243,7 +249,8 @@
     fn from(cut: Cut) -> Self {
         match cut {
             Cut::Broken(error) => error.into(),
-            Cut::Slow | Cut::Long | Cut::NoRoom => Self::Garbled,
+            Cut::Slow | Cut::Long => Self::Garbled,
+            Cut::NoRoom => Self::NoRoom,
         }
     }
 }
@@ -253,17 +260,30 @@
 async fn converse(
     node: &Node,
     link: &mut Link,
-    request: Request<Outgoing>,
+    request: impl FnOnce() -> Request<Outgoing>,
     hold: Duration,
 ) -> Result<Heard, Broken> {
-    let Link { send, conn, .. } = link;
+    let Link { sock, send, conn, .. } = link;
     let talk = async {
         send.ready().await?;
-        let answer = send.send_request(request).await?;
-        let (parts, body) = answer.into_parts();
+        // What has come before the request is no answer to it.
+        if !sock.quiet() {
+            return Err(Broken::Link);
+        }
+        let (parts, body) = send.send_request(request()).await?.into_parts();
+        // A server begins once it has the last byte: what says sooner that it is done is another's answer.
+        let early = parts.status == StatusCode::OK && !sock.whole();
+        if early || !framed(&parts.headers) {
+            return Err(Broken::Garbled);
+        }
         let length = body.size_hint().exact();
-        let body = gather(Paced::new(body, ANSWERING), &node.budget, Side::Answer(hold)).await?;
-        Ok::<_, Broken>((parts, length, body))
+        let body = gather(Paced::new(body, ANSWERING), &node.budget, Side::Answer(hold));
+        // What any other answer says is in its head.
+        let body = match parts.status {
+            StatusCode::OK => Some(body.await?),
+            _ => timeout(hold, body).await.ok().transpose()?,
+        };
+        Ok((parts, length, body))
     };
     let (parts, length, body) = drive(conn, talk).await?;
     let closes = parts.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
@@ -272,6 +292,16 @@
     Ok(Heard { status: parts.status, headers, body, length, keep })
 }
 
+/// Can the end of an answer with these headers be read in one way alone? hyper takes any encoding that ends with
+/// chunks, and a length beside it, and else reads to the end of the connection.
+fn framed(headers: &HeaderMap) -> bool {
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    encodings.next().is_none_or(|encoding| {
+        let chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        chunked && encodings.next().is_none() && !headers.contains_key(CONTENT_LENGTH)
+    })
+}
+
 /// Has the connection come to its end? hyper sees bytes behind the answer, and closes, only when polled.
 async fn over(conn: &mut Connection<Io, Outgoing>) -> bool {
     let mut conn = pin!(conn);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -16,6 +16,9 @@
 /// How long anything that should happen is waited for: far more than it takes, on a busy machine too.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Longer than a connection to a server rests behind an answer.
+pub const RESTED: Duration = Duration::from_millis(60);
+
 /// Waits until the condition holds.
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let start = Instant::now();
@@ -107,6 +110,19 @@
     Pieces(Vec<(Duration, Vec<u8>)>, bool),
     /// Stays silent.
     Nothing,
+    /// Does that with the connection, and drops it.
+    Does(Box<dyn FnOnce(&mut TcpStream)>),
+}
+
+impl Say {
+    /// Writes that and resets the connection.
+    pub fn reset(bytes: &[u8]) -> Self {
+        let bytes = bytes.to_vec();
+        Self::Does(Box::new(move |out| {
+            let _ = out.write_all(&bytes);
+            SockRef::from(&*out).set_linger(Some(Duration::ZERO)).expect("a socket");
+        }))
+    }
 }
 
 pub struct Peer {
@@ -184,6 +200,7 @@
                 (Vec::new(), last)
             }
             Say::Nothing => (Vec::new(), false),
+            Say::Does(what) => return what(&mut out),
         };
         if out.write_all(&bytes).is_err() || last {
             break;
