Count the time of a request behind another from when it came

A request that came right behind another was given all of its time when its turn came, however long the one before had taken: its server was told more than was left to the client, and it was begun when its client had given up. Its time counts from the last read of its connection now, which had its last byte.

Seen failing without it: the third of three requests sent at once, with 400 ms behind one of 600, was served.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -244,7 +244,7 @@
                 if coming >= SLOW {
                     log::trouble(|| format!("{}: took {coming:.1?} to come", asked.txn()));
                 }
-                settle(&node, asked, remaining).await
+                settle(&node, asked, remaining, sock.heard()).await
             }
             Err(Bad { status, closes }) => {
                 let mut answer = plain(status);
@@ -289,8 +289,9 @@
     }
 }
 
-/// Takes a request in, if one may be taken right now, and waits for its final answer.
-async fn settle(node: &Rc<Node>, asked: Asked, remaining: Duration) -> Response<Outgoing> {
+/// Takes a request in, if one may be taken right now, and waits for its final answer. Its time counts from its last
+/// byte, which `came` then or sooner: one that came right behind another has waited for the answer to that.
+async fn settle(node: &Rc<Node>, asked: Asked, remaining: Duration, came: Instant) -> Response<Outgoing> {
     let mut taken = node.metrics.take(asked.class);
     if !node.has_room() {
         taken.end = End::Overload;
@@ -304,7 +305,7 @@
             return refusal(node.held_away());
         }
     };
-    let mut answer = answered(node, asked, remaining, taken).await;
+    let mut answer = answered(node, asked, remaining, came, taken).await;
     if let Some(epoch) = epoch {
         answer.headers_mut().insert(POLICY_EPOCH, HeaderValue::from(epoch));
     }
@@ -312,9 +313,13 @@
 }
 
 /// Hands the request to the node and waits for its final answer.
-async fn answered(node: &Rc<Node>, asked: Asked, remaining: Duration, taken: Taken) -> Response<Outgoing> {
-    // A request's time counts from its last byte.
-    let came = Instant::now();
+async fn answered(
+    node: &Rc<Node>,
+    asked: Asked,
+    remaining: Duration,
+    came: Instant,
+    taken: Taken,
+) -> Response<Outgoing> {
     let (margin, guard) = margins(remaining);
     let (txn, passage) = (asked.txn().to_string(), asked.body.passage().cloned());
     let (id, mut answered) = node.request(asked, came + remaining - margin);
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -385,3 +385,26 @@
     let seen: usize = servers.iter().map(|s| s.seen().len()).sum();
     assert_eq!((seen, figure(&node, "targets_disabled")), (100, 0));
 }
+
+/// A request that came right behind another has waited since then: its server is told what is left by now, and nothing
+/// is begun for which nothing is.
+#[test]
+fn the_time_of_what_came_behind_another_request_has_run_meanwhile() {
+    const FIRST: Duration = Duration::from_millis(600);
+    let server = Peer::new(|m| {
+        let first = m.header("x-txn") == Some("first");
+        Say::Later(if first { FIRST } else { Duration::ZERO }, answer(200, "", "served"))
+    });
+    let (_registry, config) = patient(server.address);
+    let node = Node::ready(&config);
+    let mut client = Client::to(&node);
+    client.send(
+        &[("first", 15_000), ("second", 5000), ("third", 400)].map(|(t, n)| request("slip", t, n)).concat(),
+    );
+    assert_eq!([(); 2].map(|()| client.hear().expect("an answer").status()), [200, 200]);
+    assert!(client.hear().expect("an answer").status() > 500);
+    let seen = server.seen();
+    assert_eq!(seen.len(), 2);
+    let told: u64 = seen[1].header("x-remaining-ms").and_then(|v| v.parse().ok()).expect("the time");
+    assert!(Duration::from_millis(told) + FIRST <= 5000 * MS, "{told} ms");
+}
