--- a/src/balance.rs
+++ b/src/balance.rs
@@ -96,7 +96,6 @@
     arrivals: Rate,
     /// For each kind of machine, the usual time of each class on a server that has nothing else of ours.
     times: BTreeMap<u64, Vec<Millis>>,
-    retry_budget: f64,
     /// What is to be done by the event in hand.
     actions: Vec<Action>,
     /// When the timer comes that was asked for last, and when what time brings was last looked at.
@@ -202,6 +201,8 @@
     excess: f64,
     /// The most time that a request had left when it came.
     most_left: Millis,
+    /// How many further attempts it may still have.
+    retry_budget: f64,
     care: Care,
 }
 
@@ -423,13 +424,14 @@
         let asked = settings.discovery == Discovery::Asked;
         let call = if asked { Call::AskAt(f64::NEG_INFINITY, 0) } else { Call::Settled };
         let most_left = f64::NEG_INFINITY;
-        let class = |c: &Class| ClassStats { mean: c.aim / 4.0, most_left, ..ClassStats::default() };
+        let retry_budget = settings.retry.most;
+        let class =
+            |c: &Class| ClassStats { mean: c.aim / 4.0, most_left, retry_budget, ..ClassStats::default() };
         let tenant = |_| TenantStats { counted: f64::NEG_INFINITY, ..TenantStats::default() };
         Ok(Self {
             period: settings.period(),
             classes: settings.classes.iter().map(class).collect(),
             tenants: settings.tenants.iter().map(tenant).collect(),
-            retry_budget: settings.retry.most,
             set: Arc::new(settings),
             random: SplitMix64::seed_from_u64(seed),
             now: 0.0,
@@ -575,13 +577,13 @@
         for (stats, class) in self.classes.iter_mut().zip(&new.classes) {
             // New requests would else be taken for old ones.
             stats.most_left = stats.most_left.min(class.deadline);
+            stats.retry_budget = stats.retry_budget.min(new.retry.most);
         }
         for (id, server) in self.servers.iter_mut().filter(|(id, s)| s.factor != new.factor(**id)) {
             // The part of its round that it has waited for its turn stays the same.
             let was = std::mem::replace(&mut server.factor, new.factor(*id));
             server.turn = self.cursor + (server.turn - self.cursor) * was / server.factor;
         }
-        self.retry_budget = self.retry_budget.min(new.retry.most);
         self.period = self.period.min(new.period());
         self.set = Arc::new(new);
         if self.set.votes.is_none() {
@@ -947,7 +949,8 @@
         if request.class >= self.set.classes.len() {
             return self.actions.push(Action::Fail(id));
         }
-        self.retry_budget = (self.retry_budget + self.set.retry.share).min(self.set.retry.most);
+        let budget = &mut self.classes[request.class].retry_budget;
+        *budget = (*budget + self.set.retry.share).min(self.set.retry.most);
         let size: f64 = self.rotated().map(|s| s.size).sum();
         self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
         request.tenant = request.tenant.filter(|t| *t < self.set.tenants.len());
@@ -1165,8 +1168,9 @@
         let time = request.worth_until() - self.now > self.usual(request);
         let free = outcome.never_ran();
         let may = self.rotated().any(|s| request.may_repeat(self.now, Some(&s.entry)));
-        if time && may && (free || self.retry_budget >= 1.0) {
-            self.retry_budget -= if free { 0.0 } else { 1.0 };
+        let budget = &mut self.classes[request.class].retry_budget;
+        if time && may && (free || *budget >= 1.0) {
+            *budget -= if free { 0.0 } else { 1.0 };
             self.waiting.push(id);
         } else {
             self.conclude(id);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -226,3 +226,21 @@
     }
     assert!(walked > 100, "{walked}");
 }
+
+/// A class that has used up its retry budget leaves another's alone.
+#[test]
+fn a_class_out_of_its_retry_budget_costs_no_other_its_own() {
+    let server = || Peer::new(|_| Say::This(answer(500, "", "")));
+    let servers = [server(), server()];
+    let registry = Registry::new(&[0, 1].map(|n| host(&format!("s{n}"), servers[n].address, "active", 1)));
+    let mut config = with_classes(&registry, &["look", "look too"]);
+    config["settings"]["Retry"] = json!({"BudgetShare": 0, "BudgetMax": 1});
+    config["settings"]["Ejection"] = json!({"Failures": 100});
+    let node = Node::ready(&config);
+    let mut attempts = |path: &str| {
+        let before = figure(&node, "dispatches");
+        assert_eq!(Client::to(&node).ask(&get(path, path, "")).status(), 503);
+        figure(&node, "dispatches") - before
+    };
+    assert_eq!(["/look/1", "/look/2", "/look%20too/1", "/look%20too/2"].map(&mut attempts), [2, 1, 2, 1]);
+}
