Drop a new test of bytes that cross a close: it saw neither of two mutants

With busy connections closed late, and with a reset in place of the linger, it passed: a check that can't fail. The crossing stays open in the roadmap.

--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -104,45 +104,6 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
-/// What comes in the moment in which the node closes a connection is answered, or the close is in order: no reset
-/// over unread bytes. The node is stopped over that moment, so that it finds both at once.
-#[test]
-fn bytes_that_cross_a_close_do_not_reset_the_connection() {
-    let server = Peer::good("s0");
-    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
-    let mut config = config(registry.address);
-    for class in config["settings"]["Classes"].as_array_mut().expect("classes") {
-        class["Deadline"] = json!(1000.0);
-    }
-    let words = request("slip", "t1", 5000);
-    // Idle ones are closed from 0.5 s after the signal on, what is half there 1.4 s after it.
-    for (begun, asleep) in [(0, 700 * MS), (40, 1800 * MS), (words.len() - 2, 1800 * MS)] {
-        let mut node = Node::ready(&config);
-        let mut clients: Vec<Client> = (0..20).map(|_| Client::to(&node)).collect();
-        for (n, client) in clients.iter_mut().enumerate() {
-            assert_eq!(client.ask(&request("look", &format!("k{n}"), 5000)).status(), 200);
-            client.send(&words[..begun]);
-        }
-        told(&node);
-        node.signal("-STOP");
-        std::thread::sleep(asleep);
-        for client in &mut clients {
-            client.send(&words[begun..]);
-        }
-        let before = server.seen().len();
-        node.signal("-CONT");
-        let mut answered = 0;
-        for (n, client) in clients.iter_mut().enumerate() {
-            let (heard, in_order) = client.rest();
-            answered += usize::from(heard.starts_with(b"HTTP/1.1 "));
-            assert!(in_order, "{begun} bytes begun, client {n} was reset");
-        }
-        let sent_on = server.seen().len() - before;
-        assert!(sent_on <= answered, "{begun} bytes begun: {sent_on} sent on, {answered} answered");
-        assert_eq!(node.exit_code(), Some(0));
-    }
-}
-
 /// A connection that was accepted and waits for room when the signal comes is served.
 #[test]
 fn a_connection_that_waits_for_room_at_sigterm_is_served() {
