Take up interrupted reads in the node's tests, and print the node's log of a failed test

Cause: Client::read set a read time-out and took every error for "no bytes". The kernel ends such a read with EINTR when the process is stopped and continued, so an interruption, a reset and a time-out all looked like a response that never began.

The client that reads slowly in shutdown.rs expects its connection to end, also by a reset, and says so now.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Runs the node's program between scripted app servers, discovery and clients, all on loopback sockets.
 #![allow(dead_code)]
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsRawFd, OwnedFd};
 use std::os::unix::net::UnixStream;
@@ -17,6 +17,9 @@
 /// Timeout of every wait for an expected event, far longer than one takes even on a busy machine.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Lines of a node's log that are printed when its test fails.
+const PRINTED_LOG_LINES: usize = 300;
+
 /// A delay after which the node may reuse a server connection for the next request: longer than the time for which it
 /// leaves a connection unused after a response.
 pub const REUSE_DELAY: Duration = Duration::from_millis(60);
@@ -667,6 +670,16 @@
         self.log.lock().expect("the lock is poisoned").clone()
     }
 
+    /// Prints the newest lines of the log, for the output of a failed test.
+    fn print_log(&self) {
+        let Ok(lines) = self.log.lock() else { return };
+        let skipped = lines.len().saturating_sub(PRINTED_LOG_LINES);
+        eprintln!("---- log of the node at {}, without its first {skipped} lines ----", self.address);
+        for line in &lines[skipped..] {
+            eprintln!("{line}");
+        }
+    }
+
     /// The policy epochs that the node has logged as applied, in order.
     pub fn policy_epochs(&self) -> Vec<u64> {
         let lines = self.log.lock().expect("the lock is poisoned");
@@ -674,6 +687,11 @@
         lines.iter().filter_map(epoch).collect()
     }
 
+    /// Sends SIGKILL.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the node cannot be killed");
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.signal("-TERM");
@@ -706,6 +724,13 @@
         descriptors(&self.child).iter().filter(|to| !inherited.contains(to)).count()
     }
 
+    /// Number of open sockets; none if the process has ended.
+    pub fn open_sockets(&self) -> usize {
+        let Ok(files) = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())) else { return 0 };
+        let targets = files.flatten().filter_map(|file| std::fs::read_link(file.path()).ok());
+        targets.filter(|target| target.to_string_lossy().starts_with("socket:")).count()
+    }
+
     /// Number of threads.
     pub fn threads(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("the node is not running").count()
@@ -713,13 +738,7 @@
 
     /// Total time that the node's main thread and the calling one have been runnable without getting a core.
     pub fn cpu_wait(&self) -> Duration {
-        let run_queue_wait = |path: &str| {
-            let schedule = std::fs::read_to_string(path).expect("the system has no scheduler statistics");
-            let waited = schedule.split(' ').nth(1).expect("the run queue wait is missing");
-            Duration::from_nanos(waited.parse().expect("not a number"))
-        };
-        let node = run_queue_wait(&format!("/proc/{}/schedstat", self.child.id()));
-        node + run_queue_wait("/proc/thread-self/schedstat")
+        run_queue_wait(&format!("/proc/{}/schedstat", self.child.id())) + thread_cpu_wait()
     }
 
     /// Peak resident memory, in KiB.
@@ -742,6 +761,17 @@
     }
 }
 
+/// Total time that the calling thread has been runnable without getting a core.
+pub fn thread_cpu_wait() -> Duration {
+    run_queue_wait("/proc/thread-self/schedstat")
+}
+
+fn run_queue_wait(path: &str) -> Duration {
+    let schedule = std::fs::read_to_string(path).expect("the system has no scheduler statistics");
+    let waited = schedule.split(' ').nth(1).expect("the run queue wait is missing");
+    Duration::from_nanos(waited.parse().expect("not a number"))
+}
+
 /// What the open file descriptors of a process refer to.
 fn descriptors(process: &Child) -> Vec<std::path::PathBuf> {
     let files = std::fs::read_dir(format!("/proc/{}/fd", process.id())).expect("the process is not running");
@@ -752,6 +782,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            self.print_log();
+        }
     }
 }
 
@@ -799,6 +832,19 @@
         Self { writer, reader }
     }
 
+    /// Connects to any address, with a timeout for the connect and for each read.
+    pub fn try_connect(address: SocketAddr, timeout: Duration) -> std::io::Result<Self> {
+        let writer = TcpStream::connect_timeout(&address, timeout)?;
+        writer.set_read_timeout(Some(timeout))?;
+        let reader = BufReader::new(writer.try_clone()?);
+        Ok(Self { writer, reader })
+    }
+
+    /// Writes bytes as they are.
+    pub fn try_send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.writer.write_all(bytes)
+    }
+
     /// Writes text as it is.
     pub fn send(&mut self, text: &str) {
         self.writer.write_all(text.as_bytes()).expect("the request cannot be written");
@@ -809,12 +855,30 @@
         self.writer.write_all(bytes).expect("the request cannot be written");
     }
 
-    /// The next bytes, at most `limit`; none if the connection has ended or failed, or the read timed out.
+    /// The next bytes, at most `limit`; none if the connection was closed. Fails the test with the system's error if
+    /// the connection was reset or the read timed out.
     pub fn read(&mut self, limit: usize) -> Vec<u8> {
-        let mut bytes = vec![0; limit];
-        let length = self.reader.read(&mut bytes).unwrap_or(0);
-        bytes.truncate(length);
-        bytes
+        self.try_read(limit).unwrap_or_else(|error| panic!("nothing can be read: {error}"))
+    }
+
+    /// The next bytes, at most `limit`; none if the connection was closed.
+    pub fn try_read(&mut self, limit: usize) -> std::io::Result<Vec<u8>> {
+        let mut bytes = self.wait_for_bytes()?.to_vec();
+        bytes.truncate(limit);
+        self.reader.consume(bytes.len());
+        Ok(bytes)
+    }
+
+    /// Waits for the next bytes and returns them without consuming them; none if the connection was closed.
+    pub fn wait_for_bytes(&mut self) -> std::io::Result<&[u8]> {
+        loop {
+            match self.reader.fill_buf() {
+                Ok(_) => return Ok(self.reader.buffer()),
+                // A read that has a timeout ends like this when the process is stopped and continued.
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
     }
 
     /// All bytes until the connection ends or a read times out, and whether it was closed without a reset. A timeout
@@ -840,17 +904,21 @@
     /// Waits for the node to end the connection. Returns whether it was closed or reset without another byte; false if
     /// the read timed out.
     pub fn closed_or_reset(&mut self) -> bool {
-        let reset = |e: &std::io::Error| e.kind() == std::io::ErrorKind::ConnectionReset;
-        match self.reader.read(&mut [0; 64]) {
-            Ok(n) => n == 0,
-            Err(e) => reset(&e),
+        match self.wait_for_bytes() {
+            Ok(bytes) => bytes.is_empty(),
+            Err(error) => error.kind() == ErrorKind::ConnectionReset,
         }
     }
 
     /// Waits for the node to end the connection. Returns whether it was closed without a reset or another byte; false
     /// if the read timed out.
     pub fn closed(&mut self) -> bool {
-        matches!(self.reader.read(&mut [0; 64]), Ok(0))
+        matches!(self.wait_for_bytes(), Ok([]))
+    }
+
+    /// Ends the sending direction.
+    pub fn half_close(&self) -> std::io::Result<()> {
+        self.writer.shutdown(std::net::Shutdown::Write)
     }
 
     /// Ends the connection in this way. Returns a client that has only half-closed it, as it can still read.
@@ -864,7 +932,7 @@
                 None
             }
             Disconnect::HalfClose => {
-                self.writer.shutdown(std::net::Shutdown::Write).expect("the connection has already ended");
+                self.half_close().expect("the connection has already ended");
                 Some(self)
             }
         }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -184,7 +184,7 @@
     assert!(slow.read(15).starts_with(b"HTTP/1.1 200"));
     let reader_ended = is_ended.clone();
     let mut clients = vec![std::thread::spawn(move || {
-        while !reader_ended() && !slow.read(16 << 10).is_empty() {
+        while !reader_ended() && slow.try_read(16 << 10).is_ok_and(|bytes| !bytes.is_empty()) {
             std::thread::sleep(100 * MS);
         }
     })];
