Keep the connections accepted at the end of a process within its limit of descriptors

What callers and operators would have seen: a node that is told to end while a crowd waits in its backlog opened all of it at once, 1,042 to 1,096 sockets where 128 are allowed, so it would be killed for its limit with every request that it had taken.

Cause: Clients::accept_queued, which empties the backlog before the listener is closed, served each connection without asking for room, as Clients::accept does.

Ruled out: the accept loop itself, which kept its limit, and a successor's process, which has no such step.

--- a/src/main.rs
+++ b/src/main.rs
@@ -198,6 +198,7 @@
         clients.serve_waiting();
         // They may keep arriving without end.
         let _ = tokio::time::timeout(BACKLOG_TIMEOUT, clients.accept_queued(&listener)).await;
+        clients.serve_waiting();
         drop(listener);
     }
     // A client that reads slowly gets its response until SIGKILL comes: to exit earlier would lose it.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -124,19 +124,7 @@
         let mut last_logged: Option<Instant> = None;
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    // Room is made only when it is needed, and never by closing a connection that was just
-                    // accepted. If accepting ends meanwhile, this connection is still served.
-                    self.waiting.set(Some(stream));
-                    while self.open_connections() >= self.node.max_client_connections() {
-                        if self.evicted.get() == 0 {
-                            self.evict(true);
-                        }
-                        // A busy connection may become idle without a notification.
-                        let _ = timeout(ACCEPT_BACKOFF, self.closed.notified()).await;
-                    }
-                    self.serve_waiting();
-                }
+                Ok((stream, _)) => self.serve_with_room(stream).await,
                 Err(error) => {
                     // Usually out of descriptors: idle connections make room, and the backlog waits.
                     if last_logged.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
@@ -152,11 +140,25 @@
         }
     }
 
-    /// Accepts the connections that are left in the backlog.
+    /// Accepts the connections that are left in the backlog, as far as there is room for them.
     pub async fn accept_queued(self: &Rc<Self>, listener: &TcpListener) {
         while let Ok(Ok((stream, _))) = timeout(ACCEPT_BACKOFF, listener.accept()).await {
-            self.serve(stream);
+            self.serve_with_room(stream).await;
+        }
+    }
+
+    /// Serves a connection that was just accepted. Makes room for it first, where there is none, and never by closing
+    /// a connection as new as this. If the call is dropped meanwhile, the connection waits in `waiting`.
+    async fn serve_with_room(self: &Rc<Self>, stream: TcpStream) {
+        self.waiting.set(Some(stream));
+        while self.open_connections() >= self.node.max_client_connections() {
+            if self.evicted.get() == 0 {
+                self.evict(true);
+            }
+            // A busy connection may become idle without a notification.
+            let _ = timeout(ACCEPT_BACKOFF, self.closed.notified()).await;
         }
+        self.serve_waiting();
     }
 
     /// Serves the connection that waits for room, if there is one.
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -140,6 +140,28 @@
     assert_eq!(node.wait_exit_code(), Some(0));
 }
 
+/// Guards against a process that accepts its whole backlog at its end, whatever it may hold: a crowd that waits to be
+/// accepted at SIGTERM would take it far beyond its descriptors.
+#[test]
+fn a_crowd_in_the_backlog_at_sigterm_stays_within_the_limit_of_descriptors() {
+    const LIMIT: usize = 64;
+    let registry = Registry::new(&[host("s0", TestServer::ok("s0").address, "active", 1)]);
+    let mut config = config(registry.address);
+    config["limits"]["sockets"] = json!(LIMIT);
+    let mut node = Node::start_ready(&config);
+    let connect = |_| TcpStream::connect(node.address).expect("the connection failed");
+    let crowd: Vec<TcpStream> = (0..500).map(connect).collect();
+    node.terminate();
+    let mut max_open = 0;
+    while node.is_running() {
+        max_open = max_open.max(node.open_sockets());
+        std::thread::sleep(MS);
+    }
+    assert!(max_open > 0 && max_open <= LIMIT, "{max_open} sockets were open, and {LIMIT} are allowed");
+    assert_eq!(node.wait_exit_code(), Some(0));
+    drop(crowd);
+}
+
 /// Covers a response whose end is marked only by the close of the connection, as the client speaks HTTP/1.0 and the
 /// server sends no length. The node gives up a response that its client has not read for 10 s, and must then reset the
 /// connection: after a plain close, the part that was sent would look like the whole response.
