Keep a fault of the lab in force when another one of its kind ends at the same place

What readers saw: of two faults that limited one link's bandwidth, or slowed one server, the first to end lifted both; the same held for errors, resets, gray failures, noisy neighbours, uplink loss, stale and reordered lists and list outages. An experiment with overlapping faults measured a healthier fleet than it described.

Cause: the end of a fault wrote the healthy state, whatever else was active.

Change: the world keeps the faults that are active, in order, and derives the state of a target from all of them: the last one to begin applies, as before, until it ends. Partitions counted themselves already.

--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -275,4 +275,34 @@
             (served(&fault("narrow"), BaselinePolicy::Random), served(&fault("cut"), BaselinePolicy::Random));
         assert!(narrow < baseline - 0.1 && cut < baseline, "{baseline} {narrow} {cut}");
     }
+
+    /// Guards against an end of one fault that lifts another one of its kind which still goes on.
+    #[test]
+    fn the_end_of_a_fault_leaves_an_overlapping_one_of_its_kind_in_force() {
+        const SERVER_FAULT: &str = "ids = [0, 1, 2, 3, 4, 5, 6]";
+        let kinds = [
+            ("narrow", "zone = \"maipu\"", "9000"),
+            ("slow", SERVER_FAULT, "6"),
+            ("errors", SERVER_FAULT, "0.9"),
+            ("reset", SERVER_FAULT, "0.9"),
+            ("gray", SERVER_FAULT, "0.9\nslower_ms = 400"),
+        ];
+        for (kind, targets, factor) in kinds {
+            let fault = |at: u64, length: u64| {
+                format!("[[fault]]\nkind = \"{kind}\"\n{targets}\nat_s = {at}\nfor_s = {length}\nfactor = {factor}\n")
+            };
+            let settings = "[fleet]\nserver_skew = 0\n[load]\nof_capacity = 0.4\n";
+            let served = |faults: String| {
+                let world = played(&format!("{settings}{faults}"), BaselinePolicy::Random);
+                world.tally().served_share(0..2, 12..30)
+            };
+            let (one, two) = (served(fault(0, 30)), served(fault(0, 30) + &fault(5, 5)));
+            let (none, short) = (served(String::new()), served(fault(5, 5)));
+            let loss = none - one;
+            assert!(loss > 0.05, "{kind}: {one} with the fault, {none} without");
+            // The same links or servers are as faulty as with the first fault alone.
+            assert!((one - two).abs() < loss / 4.0, "{kind}: {one} with one, {two} with a second within it");
+            assert!(short - two > loss / 2.0, "{kind}: {two} with both, {short} with the second alone");
+        }
+    }
 }
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -7,6 +7,7 @@
     pub(super) fn begin_fault(&mut self, n: usize) {
         let draw = self.draw.clone();
         let fault = &draw.faults[n];
+        self.active_faults.push(n);
         // The step of the fault in which the target with this index is handled.
         let step_of_target = |k: usize| (k * fault.steps / fault.targets.len().max(1)) as u64;
         let step_length = (fault.until - fault.at) / fault.steps as u64;
@@ -48,7 +49,7 @@
             }
             FaultKind::Crash => fault.targets.iter().for_each(|t| self.crash_server(*t)),
             FaultKind::Slow | FaultKind::Errors | FaultKind::GrayFailure | FaultKind::ResetConnections => {
-                self.apply_server_fault(fault, true)
+                self.update_servers(fault)
             }
             FaultKind::NoisyNeighbour => self.toggle_neighbour(n, true),
             FaultKind::Release | FaultKind::Replace => {
@@ -61,15 +62,9 @@
             }
             FaultKind::Partition => self.set_partition(fault, true),
             FaultKind::BreakConnections => self.break_connections(fault),
-            FaultKind::LimitBandwidth => {
-                self.update_links(fault, |link| link.us_per_byte = 1e6 / fault.factor)
-            }
-            FaultKind::ListOutage => self.set_list_outage(true),
-            FaultKind::StaleList => self.set_list_lag(fault.factor as u64),
-            FaultKind::ReorderedList => self.set_list_reordering(true),
-            FaultKind::UplinkLoss => {
-                fault.targets.iter().for_each(|t| self.nodes[*t].uplink_loss = fault.factor)
-            }
+            FaultKind::LimitBandwidth => self.update_bandwidth(fault),
+            FaultKind::ListOutage | FaultKind::StaleList | FaultKind::ReorderedList => self.update_list(),
+            FaultKind::UplinkLoss => self.update_uplinks(fault),
             // Already part of the drawn arrivals.
             FaultKind::Burst => {}
             FaultKind::Policy
@@ -88,6 +83,7 @@
     pub(super) fn end_fault(&mut self, n: usize) {
         let draw = self.draw.clone();
         let fault = &draw.faults[n];
+        self.active_faults.retain(|active| *active != n);
         match fault.kind {
             FaultKind::Kill => fault.targets.iter().for_each(|t| self.start_node(*t)),
             FaultKind::Pause => {
@@ -95,16 +91,15 @@
                 self.effects.extend(fault.targets.iter().map(signal));
             }
             FaultKind::Vanish | FaultKind::Crash => fault.targets.iter().for_each(|t| self.start_server(*t)),
-            FaultKind::Slow | FaultKind::Errors | FaultKind::GrayFailure | FaultKind::ResetConnections => {
-                self.apply_server_fault(fault, false)
-            }
-            FaultKind::NoisyNeighbour => self.update_servers(fault, |instance| instance.stolen_share = 0.0),
+            FaultKind::Slow
+            | FaultKind::Errors
+            | FaultKind::GrayFailure
+            | FaultKind::ResetConnections
+            | FaultKind::NoisyNeighbour => self.update_servers(fault),
             FaultKind::Partition => self.set_partition(fault, false),
-            FaultKind::LimitBandwidth => self.update_links(fault, |link| link.us_per_byte = 0.0),
-            FaultKind::ListOutage => self.set_list_outage(false),
-            FaultKind::StaleList => self.set_list_lag(0),
-            FaultKind::ReorderedList => self.set_list_reordering(false),
-            FaultKind::UplinkLoss => fault.targets.iter().for_each(|t| self.nodes[*t].uplink_loss = 0.0),
+            FaultKind::LimitBandwidth => self.update_bandwidth(fault),
+            FaultKind::ListOutage | FaultKind::StaleList | FaultKind::ReorderedList => self.update_list(),
+            FaultKind::UplinkLoss => self.update_uplinks(fault),
             FaultKind::Restart
             | FaultKind::IdleConnections
             | FaultKind::BreakConnections
@@ -125,29 +120,41 @@
         self.update_faulty_servers();
     }
 
-    /// Applies or removes a slowdown, errors, resets or a gray failure at the fault's servers.
-    fn apply_server_fault(&mut self, fault: &FaultSpec, on: bool) {
-        let share = if on { fault.factor } else { 0.0 };
-        let truncated_share = if on { fault.truncated_share } else { 0.0 };
-        self.update_servers(fault, |instance| match fault.kind {
-            FaultKind::Slow => instance.slowdown = if on { fault.factor } else { 1.0 },
-            FaultKind::Errors => instance.error_rate = share,
-            FaultKind::ResetConnections => instance.reset_rate = share,
-            _ => instance.gray_failure = (share, fault.answer_delay, truncated_share),
-        });
+    /// The active fault of this kind that applies at a target: the last one to begin, as long as it is active.
+    fn fault_at(&self, kind: FaultKind, target: usize) -> Option<&FaultSpec> {
+        let mut active = self.active_faults.iter().rev().map(|n| &self.draw.faults[*n]);
+        active.find(|fault| fault.kind == kind && fault.targets.contains(&target))
     }
 
-    /// Changes the state of the fault's servers, which are first advanced to the current time.
-    fn update_servers(&mut self, fault: &FaultSpec, change: impl Fn(&mut ServerInstance)) {
+    /// Gives the fault's servers the state that all active faults together define. The servers are first advanced to
+    /// the current time.
+    fn update_servers(&mut self, fault: &FaultSpec) {
         for server in &fault.targets {
             self.advance_server(*server);
+            let factor = |kind| self.fault_at(kind, *server).map(|fault| fault.factor);
+            let slowdown = factor(FaultKind::Slow).unwrap_or(1.0);
+            let error_rate = factor(FaultKind::Errors).unwrap_or(0.0);
+            let reset_rate = factor(FaultKind::ResetConnections).unwrap_or(0.0);
+            let gray_failure = self
+                .fault_at(FaultKind::GrayFailure, *server)
+                .map_or((0.0, 0, 0.0), |fault| (fault.factor, fault.answer_delay, fault.truncated_share));
+            let stolen_share = self.stolen_share(*server);
             let instance = &mut self.servers[*server];
-            change(instance);
+            (instance.slowdown, instance.error_rate, instance.reset_rate) =
+                (slowdown, error_rate, reset_rate);
+            (instance.gray_failure, instance.stolen_share) = (gray_failure, stolen_share);
             instance.model.set_slowdown(instance.slowdown, instance.stolen_share);
             self.schedule_server(*server);
         }
     }
 
+    /// The share of its CPU that a noisy neighbour takes from a server now.
+    fn stolen_share(&self, server: usize) -> f64 {
+        let running = self.active_faults.iter().rev().filter(|n| self.running_neighbours.contains(n));
+        let at_server = running.map(|n| &self.draw.faults[*n]).find(|fault| fault.targets.contains(&server));
+        at_server.map_or(0.0, |fault| fault.factor)
+    }
+
     /// Starts or stops the noisy neighbour of a fault, and schedules the next toggle, at the latest for the fault's
     /// end. Does nothing once the fault has ended.
     pub(super) fn toggle_neighbour(&mut self, n: usize, on: bool) {
@@ -156,8 +163,12 @@
         if self.now >= fault.until {
             return;
         }
-        let stolen_share = if on { fault.factor } else { 0.0 };
-        self.update_servers(fault, |instance| instance.stolen_share = stolen_share);
+        if on {
+            self.running_neighbours.insert(n);
+        } else {
+            self.running_neighbours.remove(&n);
+        }
+        self.update_servers(fault);
         self.update_faulty_servers();
         let span = self.rng.random_range(MIN_NEIGHBOUR_SPAN_US..5 * MIN_NEIGHBOUR_SPAN_US);
         self.schedule_event((self.now + span).min(fault.until), Event::NeighbourToggles(n, !on));
@@ -173,21 +184,58 @@
         }
     }
 
-    /// Changes the links between the fault's zones and the others, in both directions or only the one that the fault
-    /// names.
+    /// Changes the links that the fault affects.
     fn update_links(&mut self, fault: &FaultSpec, change: impl Fn(&mut Link)) {
-        for zone in &fault.targets {
-            let others = (0..self.draw.zones.len()).filter(|z| z != zone);
-            for other in others.filter(|z| fault.peer_zone.is_none_or(|to| to == *z)) {
-                for (direction, from, to) in [(Direction::Out, *zone, other), (Direction::In, other, *zone)] {
-                    if fault.direction.is_none_or(|affected| affected == direction) {
-                        change(&mut self.links[from][to]);
-                    }
-                }
+        let zones = 0..self.draw.zones.len();
+        for (from, to) in zones.clone().flat_map(|from| zones.clone().map(move |to| (from, to))) {
+            for _ in 0..effects_on_link(fault, from, to) {
+                change(&mut self.links[from][to]);
             }
         }
     }
 
+    /// Gives the links that the fault affects the bandwidth that all active faults together define.
+    fn update_bandwidth(&mut self, fault: &FaultSpec) {
+        let zones = 0..self.draw.zones.len();
+        for (from, to) in zones.clone().flat_map(|from| zones.clone().map(move |to| (from, to))) {
+            if effects_on_link(fault, from, to) > 0 {
+                let limits = self.active_faults.iter().rev().map(|n| &self.draw.faults[*n]);
+                let limit = limits
+                    .filter(|active| active.kind == FaultKind::LimitBandwidth)
+                    .find(|active| effects_on_link(active, from, to) > 0);
+                self.links[from][to].us_per_byte = limit.map_or(0.0, |active| 1e6 / active.factor);
+            }
+        }
+    }
+
+    /// Gives the fault's nodes the loss on their uplinks that all active faults together define.
+    fn update_uplinks(&mut self, fault: &FaultSpec) {
+        for node in &fault.targets {
+            let loss = self.fault_at(FaultKind::UplinkLoss, *node).map_or(0.0, |fault| fault.factor);
+            self.nodes[*node].uplink_loss = loss;
+        }
+    }
+
+    /// Gives the list the state that all active faults together define.
+    fn update_list(&mut self) {
+        let last_of = |kind| {
+            let mut active = self.active_faults.iter().rev().map(|n| &self.draw.faults[*n]);
+            active.find(|fault| fault.kind == kind)
+        };
+        let lag = last_of(FaultKind::StaleList).map_or(0, |fault| fault.factor as u64);
+        let outage = last_of(FaultKind::ListOutage).is_some();
+        let reordered = last_of(FaultKind::ReorderedList).is_some();
+        if outage != self.list_outage {
+            self.set_list_outage(outage);
+        }
+        if lag != self.list_lag {
+            self.set_list_lag(lag);
+        }
+        if reordered != self.list_reordered {
+            self.set_list_reordering(reordered);
+        }
+    }
+
     /// Closes all connections between the fault's zones and the others.
     fn break_connections(&mut self, fault: &FaultSpec) {
         for server in 0..self.servers.len() {
@@ -209,3 +257,14 @@
         }
     }
 }
+
+/// How often a fault affects the link from one zone to another: in the direction out of one of its zones, and into one.
+fn effects_on_link(fault: &FaultSpec, from: usize, to: usize) -> usize {
+    let affects = |zone: usize, other: usize, direction: Direction| {
+        fault.targets.contains(&zone)
+            && zone != other
+            && fault.peer_zone.is_none_or(|peer| peer == other)
+            && fault.direction.is_none_or(|affected| affected == direction)
+    };
+    usize::from(affects(from, to, Direction::Out)) + usize::from(affects(to, from, Direction::In))
+}
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -23,7 +23,7 @@
 pub use self::metrics::FleetState;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -389,8 +389,8 @@
 struct Link {
     /// Number of active partitions that cut the link; messages pass only if it is 0.
     cuts: u32,
-    /// Transmission time per byte, in microseconds, if bandwidth is limited; 0 if it is not. If bandwidth limits
-    /// overlap in time, the last one to begin applies, and the first one to end removes it.
+    /// Transmission time per byte, in microseconds, if bandwidth is limited; 0 if it is not. Of several limits the
+    /// last one to begin applies.
     us_per_byte: f64,
     /// Time at which the link is free to transmit the next message, if bandwidth is limited.
     free_at: Us,
@@ -418,6 +418,10 @@
     tries: Vec<Try>,
     attempts: Vec<Attempt>,
     list: ServerList,
+    /// The numbers of the faults that have begun and not ended, in the order of their beginning.
+    active_faults: Vec<usize>,
+    /// Those noisy neighbours among them that take processor time now.
+    running_neighbours: BTreeSet<usize>,
     list_outage: bool,
     /// Number of versions by which a stale list is behind.
     list_lag: u64,
@@ -468,6 +472,8 @@
             tries: Vec::new(),
             attempts: Vec::new(),
             list: ServerList::new(entries),
+            active_faults: Vec::new(),
+            running_neighbours: BTreeSet::new(),
             list_outage: false,
             list_lag: 0,
             list_reordered: false,
