--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use openraft::SnapshotPolicy;
+use store::MAX_SNAPSHOT_BYTES;
 
 use crate::ConsensusError;
 
@@ -49,7 +50,7 @@
     pub snapshot_after: u64,
     /// Number of entries that are kept behind the snapshot, so that a replica that was away briefly needs no snapshot.
     pub retained_entries: u64,
-    /// Maximum size of a snapshot, in bytes. [`store::MAX_SNAPSHOT_BYTES`] also applies.
+    /// Maximum size of a snapshot, in bytes, at most [`store::MAX_SNAPSHOT_BYTES`].
     pub max_snapshot_bytes: usize,
     /// Maximum number of writes in flight.
     pub max_concurrent_writes: usize,
@@ -81,8 +82,8 @@
 
     /// Returns the library's configuration.
     ///
-    /// Validates all fields but `id`, `address`, `retained_entries` and `max_snapshot_bytes`, for which any value is
-    /// accepted; `address` is only compared with this replica's entry in `peers`.
+    /// Validates all fields but `id`, `address` and `retained_entries`, for which any value is accepted; `address` is
+    /// only compared with this replica's entry in `peers`.
     ///
     /// # Errors
     /// [`ConsensusError::Config`] with the first invalid field.
@@ -124,6 +125,10 @@
                 return invalid(field, "it must be above 0".to_owned());
             }
         }
+        // The store would refuse a larger snapshot each time that one is taken, and the log would grow without end.
+        if self.max_snapshot_bytes == 0 || self.max_snapshot_bytes > MAX_SNAPSHOT_BYTES {
+            return invalid("max_snapshot_bytes", format!("it must be 1 to {MAX_SNAPSHOT_BYTES} bytes"));
+        }
         if self.max_command_bytes == 0 || self.max_command_bytes > COMMAND_BYTES_LIMIT {
             return invalid("max_command_bytes", format!("it must be 1 to {COMMAND_BYTES_LIMIT} bytes"));
         }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -31,7 +31,6 @@
 pub const SCHEMA_VERSION: u64 = 1;
 /// Maximum size of one entry, record or snapshot description, in bytes.
 pub const MAX_VALUE_BYTES: usize = 16 << 20;
-/// Maximum size of a snapshot's contents, in bytes. Independent of `ReplicaConfig::max_snapshot_bytes` of the
-/// `consensus` crate, which is normally smaller and is not checked against this: a snapshot must not exceed either of
-/// them.
+/// Maximum size of a snapshot's contents, in bytes. `ReplicaConfig::max_snapshot_bytes` of the `consensus` crate may
+/// set a lower limit, and no higher one.
 pub const MAX_SNAPSHOT_BYTES: usize = 256 << 20;
