--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -218,3 +218,33 @@
         assert_released(&node, &server, &format!("{count} requests, {how:?}"), 0);
     }
 }
+
+/// Guards against attempts for clients that closed while their connection still waited to be accepted: here it waits for
+/// a process that is not ready yet, in service also for room in a crowd.
+#[test]
+fn requests_of_clients_that_left_before_they_were_accepted_are_not_sent() {
+    const CLIENTS: usize = 20;
+    for (body_bytes, how) in [40, 0, 100_000].into_iter().flat_map(|n| DISCONNECTS.map(|how| (n, how))) {
+        let server = server(&Arc::default());
+        let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+        registry.set_down(true);
+        let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
+        let node = Node::start_inheriting(&config_without_timeouts(registry.address), &listener, &[]);
+        let request = |n: usize| match body_bytes {
+            0 => request("look", &format!("w{n}"), DEADLINE_MS),
+            _ => half_sent(&format!("w{n}"), body_bytes) + &"x".repeat(body_bytes / 2),
+        };
+        let left: Vec<_> = (0..CLIENTS)
+            .map(|n| {
+                let mut client = Client::connect(&node);
+                client.send(&request(n));
+                client.disconnect(how)
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(200));
+        registry.set_down(false);
+        node.wait_ready();
+        assert_released(&node, &server, &format!("{body_bytes} bytes, {how:?}"), 0);
+        drop(left);
+    }
+}
