Bound a test's call to a replica, and tell a server's return from votes by its own log line

Readers saw: a call in crates/stoneshift/tests/control.rs had no read time-out, so that a replica which never answers hung the test for good; "s0 is back" in votes.rs also fits "s0 is back in use", the line of a lifted ban. Now 30 s, and "s0 is back: ", which only the end of a verdict logs. Not seen to fail; both checks are stricter than before.

--- a/crates/stoneshift/tests/control.rs
+++ b/crates/stoneshift/tests/control.rs
@@ -71,11 +71,15 @@
     }
 }
 
+/// Timeout of a call to a replica, longer than one takes even on a busy machine.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Sends a request with a fixed policy as its body, and returns the raw response: empty if there is none, and partial
-/// if the connection breaks off.
+/// if the connection breaks off or reaches [`CALL_TIMEOUT`].
 fn send_request(at: SocketAddr, request: &str) -> String {
     let mut answer = String::new();
     if let Ok(mut stream) = TcpStream::connect(at) {
+        stream.set_read_timeout(Some(CALL_TIMEOUT)).expect("the read timeout is set");
         let head = format!("{request} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n");
         let body = "{\"base\":0,\"policy\":{\"Limits\":{\"AttemptsCap\":2}}}";
         let _ = write!(stream, "{head}content-length: {}\r\n\r\n{body}", body.len());
--- a/crates/stoneshift/tests/votes.rs
+++ b/crates/stoneshift/tests/votes.rs
@@ -360,7 +360,7 @@
         for node in &self.nodes {
             wait_for("a node applies the return", || (metric(node, "votes.removed") == 0).then_some(()));
             wait_for("the node logs the return", || {
-                node.has_logged(&format!("{FAULTY_SERVER} is back")).then_some(())
+                node.has_logged(&format!("{FAULTY_SERVER} is back: ")).then_some(())
             });
         }
         let before = self.requests_to_faulty_server();
