Take each step of a ban's markers for what it did, and lose no return that another process made

Found on the way: a server enabled at the other process could stay out of use here for good.

Cause, all in how Bans joins two steps into one result: - ban() counted as not saved if the marker of an earlier return could not be removed, though its own was written. Lifting an unsaved ban removes no marker, so the ban was read back at the next poll or start. - unban() read the whole folder after it had removed the marker, and took the failure of that for its own. - That reading also counted everything in the folder as reported, so a return made by the other process within the last poll was never passed on, and the ban was dropped from the list without the decision module being told.

Change: the ban's marker alone decides whether a ban is saved; what stays of an earlier return has a log line of its own; unban removes a marker wherever there is one, and notes the date of its own return alone.

Tests, each failing before: a stuck marker of an earlier return, two processes that lift two bans at once (unit tests of the module), and enable at a node that can open nothing more (500 for 200).

--- a/src/net/bans.rs
+++ b/src/net/bans.rs
@@ -40,6 +40,14 @@
         /// The system's error.
         error: io::Error,
     },
+    /// The marker of an earlier return could not be removed. The ban is saved and holds.
+    #[error("the mark of an earlier return of {name} stays beside its ban: {error}")]
+    ReturnNotRemoved {
+        /// The server.
+        name: String,
+        /// The system's error.
+        error: io::Error,
+    },
     /// The lifting of a ban could not be saved.
     #[error("the return of {name} is not saved and is known to this process only: {error}")]
     ReturnNotSaved {
@@ -70,6 +78,9 @@
             Self::BanNotSaved { .. } => {
                 "free space under TMPDIR and ban it again, or ban it again after an upgrade".into()
             }
+            Self::ReturnNotRemoved { .. } => {
+                "nothing need be done; remove its back- entry from the node's folder under TMPDIR if it remains".into()
+            }
             Self::ReturnNotSaved { .. } => "enable it at the other process of this node as well".into(),
             Self::NotLifted { .. } => {
                 "remove its out- file from the node's folder under TMPDIR, or enable it again".into()
@@ -115,14 +126,20 @@
         self.returned.remove(name);
         self.banned.insert(name.to_string());
         // The ban's marker comes first: if the process ends between the two steps, the ban holds.
-        match self.create_marker(BANNED_PREFIX, name).and_then(|()| self.remove_marker(RETURNED_PREFIX, name))
-        {
-            Ok(()) => self.unsaved.remove(name),
+        match self.create_marker(BANNED_PREFIX, name) {
+            Ok(()) => {
+                self.unsaved.remove(name);
+            }
             Err(error) => {
                 log::line(BanError::BanNotSaved { name: name.to_string(), error }.line());
-                self.unsaved.insert(name.to_string())
+                self.unsaved.insert(name.to_string());
             }
-        };
+        }
+        if let Err(error) = self.remove_marker(RETURNED_PREFIX, name) {
+            if !self.unsaved.contains(name) {
+                log::line(BanError::ReturnNotRemoved { name: name.to_string(), error }.line());
+            }
+        }
     }
 
     /// Lifts the ban on a server; false if there is none.
@@ -133,13 +150,20 @@
         if !self.banned.contains(name) {
             return Ok(false);
         }
-        if !self.unsaved.remove(name) {
+        // A ban that counts as unsaved may have a marker all the same, whose date could not be set.
+        if !self.unsaved.contains(name) || self.has_marker(BANNED_PREFIX, name) {
             if let Err(error) = self.create_marker(RETURNED_PREFIX, name) {
                 log::line(BanError::ReturnNotSaved { name: name.to_string(), error }.line());
             }
-            let lifted = self.remove_marker(BANNED_PREFIX, name).and_then(|()| self.read_folder());
-            self.returned = lifted.map_err(|error| BanError::NotLifted { name: name.to_string(), error })?.1;
+            self.remove_marker(BANNED_PREFIX, name)
+                .map_err(|error| BanError::NotLifted { name: name.to_string(), error })?;
+            // Its own return is no change to report. Without a date that can be read it is reported once, which does
+            // no harm.
+            if let Ok(at) = self.marker_date(RETURNED_PREFIX, name) {
+                self.returned.insert(name.to_string(), at);
+            }
         }
+        self.unsaved.remove(name);
         self.banned.remove(name);
         Ok(true)
     }
@@ -219,6 +243,14 @@
         File::create(path)?.set_modified(SystemTime::now())
     }
 
+    fn has_marker(&self, kind: &str, name: &str) -> bool {
+        self.marker_path(kind, name).is_ok_and(|path| path.exists())
+    }
+
+    fn marker_date(&self, kind: &str, name: &str) -> io::Result<SystemTime> {
+        fs::metadata(self.marker_path(kind, name)?)?.modified()
+    }
+
     fn remove_marker(&self, kind: &str, name: &str) -> io::Result<()> {
         match fs::remove_file(self.marker_path(kind, name)?) {
             Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(()),
@@ -259,7 +291,8 @@
         let (name, error) = (|| "s1".to_string(), || io::Error::other("TMPDIR is not set"));
         assert_each_has_advice(|before| match before {
             None => Some(BanNotSaved { name: name(), error: error() }),
-            Some(BanNotSaved { .. }) => Some(ReturnNotSaved { name: name(), error: error() }),
+            Some(BanNotSaved { .. }) => Some(ReturnNotRemoved { name: name(), error: error() }),
+            Some(ReturnNotRemoved { .. }) => Some(ReturnNotSaved { name: name(), error: error() }),
             Some(ReturnNotSaved { .. }) => Some(NotLifted { name: name(), error: error() }),
             Some(NotLifted { .. }) => Some(FolderUnreadable { error: error() }),
             Some(FolderUnreadable { .. }) => None,
@@ -299,6 +332,45 @@
         assert!(old.poll_changes().is_empty() && new.poll_changes().is_empty());
     }
 
+    /// Makes the marker of a server's return an entry that cannot be removed as a file, nor written.
+    fn block_return_marker(bans: &Bans, name: &str) -> PathBuf {
+        let path = bans.marker_path(RETURNED_PREFIX, name).expect("a path");
+        fs::create_dir_all(path.join("entry")).expect("created");
+        path
+    }
+
+    /// Guards against a ban that comes back at the next start: its marker was written, but as an earlier return's could
+    /// not be removed it counted as not saved, and lifting it left the marker.
+    #[test]
+    fn a_ban_beside_a_stuck_return_marker_is_saved_and_is_lifted_for_good() {
+        let folder = folder("stuck-return");
+        let mut old = bans(&folder, COLD);
+        block_return_marker(&old, "s1");
+        old.ban("s1");
+        let banned = [("s1".to_string(), BanChange::Banned)];
+        assert_eq!(bans(&folder, COLD).poll_changes()[..1], banned, "another process knows of it");
+        assert!(old.unban("s1").expect("its marker is removed"));
+        old.poll_changes();
+        assert!(!old.is_banned("s1"));
+        let next = bans(&folder, COLD).poll_changes();
+        assert!(!next.contains(&banned[0]), "it holds again after a restart: {next:?}");
+    }
+
+    /// Guards against the loss of another process's change: lifting a ban took over the whole folder as reported.
+    #[test]
+    fn lifting_a_ban_leaves_what_another_process_lifted_to_be_reported() {
+        let folder = folder("both-lift");
+        let [mut old, mut new] = [(); 2].map(|()| bans(&folder, COLD));
+        old.ban("s1");
+        old.ban("s2");
+        new.poll_changes();
+        assert!(new.unban("s2").expect("removed"));
+        assert!(old.unban("s1").expect("removed"));
+        let seen = old.poll_changes();
+        assert!(matches!(seen.as_slice(), [(name, BanChange::Lifted(_))] if name == "s2"), "{seen:?}");
+        assert!(!old.is_banned("s2"));
+    }
+
     /// A process that starts later learns of bans and of recent returns.
     #[test]
     fn a_successor_learns_of_a_recent_return() {
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -338,6 +338,34 @@
     });
 }
 
+/// Guards against an error for a ban that was lifted: its marker is removed, but the folder cannot be read after that,
+/// here for want of a descriptor.
+#[test]
+fn enabling_succeeds_once_the_marker_is_removed_though_the_folder_cannot_be_read() {
+    let server = TestServer::ok("s0");
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let (config, dir) = (config_with_admin(&registry), temp_dir("unreadable-bans"));
+    let listener = platform_listener();
+    let node = Node::start_inheriting(&config, &listener, &[("TMPDIR", dir.as_str())]);
+    wait_admin_ready(&node);
+    assert_eq!(node.admin_call("PUT /app-servers/disable/s0").0, 200);
+    let mut enable = node.admin_client();
+    enable.send("PUT /app-servers/enable/s0 HTTP/1.1\r\n");
+    // A call that is accepted later shows that this one has been.
+    assert_eq!(node.admin_call("GET /ready").0, 200);
+    // All numbers below are taken, so that nothing more can be opened.
+    node.limit_descriptors(3);
+    enable.send("Host: x\r\n\r\n");
+    let response = enable.receive().expect("no response");
+    assert_eq!(response.status(), 200, "{}", String::from_utf8_lossy(&response.body));
+    node.limit_descriptors(1024);
+    let mut n = 0;
+    wait_until("the server gets requests again", || {
+        n += 1;
+        send_safe(&node, n) == 200
+    });
+}
+
 /// Without any server the node refuses, and serves again once one is enabled.
 #[test]
 fn the_last_server_may_be_disabled() {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -709,6 +709,13 @@
         assert!(killed.expect("kill cannot be started").success());
     }
 
+    /// Limits the number of open file descriptors from now on.
+    pub fn limit_descriptors(&self, limit: usize) {
+        let (process, limit) = (self.child.id().to_string(), format!("--nofile={limit}:"));
+        let limited = Command::new("prlimit").args(["--pid", &process, &limit]).status();
+        assert!(limited.expect("prlimit cannot be started").success());
+    }
+
     /// Number of open file descriptors.
     pub fn descriptors(&self) -> usize {
         descriptors(&self.child).len()
