Count the end of an attempt once, however often it is reported

Readers saw: an attempt that is reported as ended twice was taken off its server a second time before it was ignored. The node itself reports each end once.

Cause: Balancer::handle let end_attempt observe the outcome before on_ended looked whether the attempt had ended.

Change: an end counts only for an attempt that is outstanding. Of a request that is gone the server's own record tells; an attempt with a body that was still arriving then has none, and its end counts no longer.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -473,8 +473,10 @@
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt),
             Event::AttemptEnded { id, attempt, server, outcome, elapsed, answered } => {
                 let elapsed = if elapsed.is_finite() { elapsed.max(0.0) } else { 0.0 };
-                self.end_attempt((id, attempt), server, outcome, elapsed);
-                self.on_ended(id, attempt, outcome, elapsed, answered);
+                if self.is_outstanding(id, attempt, server) {
+                    self.end_attempt((id, attempt), server, outcome, elapsed);
+                    self.on_ended(id, attempt, outcome, elapsed, answered);
+                }
             }
             Event::ProbeEnded { server, outcome, .. } => self.on_probe_ended(server, outcome),
             Event::ClientGone(id) => drop(self.remove_request(id)),
@@ -1060,6 +1062,14 @@
         self.actions.extend(others);
     }
 
+    /// Whether the end of an attempt has not been reported yet. Its server alone knows it once the request is gone.
+    fn is_outstanding(&self, id: RequestId, attempt: usize, server: ServerId) -> bool {
+        match self.requests.get(&id) {
+            Some(request) => request.attempts.get(attempt).is_some_and(|a| a.outcome.is_none()),
+            None => self.servers.get(&server).is_some_and(|s| s.in_flight.contains(&(id, attempt))),
+        }
+    }
+
     /// Ends an attempt at its server: frees its place in the limit and records the outcome.
     fn end_attempt(&mut self, attempt: (RequestId, usize), id: ServerId, outcome: Outcome, elapsed: Millis) {
         if let Some(server) = self.servers.get_mut(&id) {
