--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1062,7 +1062,7 @@
         self.actions.extend(others);
     }
 
-    /// Whether the end of an attempt has not been reported yet. Its server alone knows it once the request is gone.
+    /// Whether an attempt is not reported as ended yet. Its server alone knows it once the request is gone.
     fn is_outstanding(&self, id: RequestId, attempt: usize, server: ServerId) -> bool {
         match self.requests.get(&id) {
             Some(request) => request.attempts.get(attempt).is_some_and(|a| a.outcome.is_none()),
