--- a/src/main.rs
+++ b/src/main.rs
@@ -184,6 +184,12 @@
         Duration::try_from_secs_f64(node.config.node_settings.max_deadline / 1000.0).unwrap_or(MAX_DEADLINE);
     let kill_at = stop_requested + max_deadline.min(MAX_DEADLINE) + KILL_MARGIN;
     let mut close_idle_at = stop_requested;
+    let name = &node.config.name;
+    log::line(format!(
+        "{name} is told to end: connections: {}; {} requests open",
+        clients.describe_phases(),
+        node.open_requests()
+    ));
     clients.serve_waiting();
     if node.config.inherited_fd.is_some() {
         // New connections are the successor's, and so are the descriptors that they need. Clients move over to it
@@ -207,10 +213,14 @@
             clients.close_idle();
         }
         if Instant::now() >= kill_at - FAIL_BEFORE_KILL {
-            node.fail_open_requests();
+            let failed = node.fail_open_requests();
+            if failed > 0 {
+                log::limited(|| format!("{name} fails {failed} requests, as SIGKILL is near"));
+            }
             clients.close_unanswered();
         }
         if Instant::now() >= kill_at + EXIT_AFTER_KILL {
+            log::limited(|| format!("{name} closes what is left: {}", clients.describe_phases()));
             clients.close_all();
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -112,6 +112,20 @@
         self.open.borrow().len()
     }
 
+    /// How many connections are in each phase, for the log.
+    pub fn describe_phases(&self) -> String {
+        let open = self.open.borrow();
+        let count = |phase| open.values().filter(|client| client.socket.phase().0 == phase).count();
+        let counts = Phase::ALL.map(|phase| (count(phase), phase.name()));
+        let present = counts.iter().filter(|(count, _)| *count > 0);
+        let described: Vec<String> = present.map(|(count, name)| format!("{count} {name}")).collect();
+        if described.is_empty() {
+            "none".into()
+        } else {
+            described.join(", ")
+        }
+    }
+
     /// Closes idle connections until no more than the limit are open, or none is idle.
     pub fn shrink(&self) {
         while self.open_connections() - self.evicted.get() > self.node.max_client_connections()
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -629,13 +629,16 @@
         self.metrics.render(&self.config.node_settings.class_names, targets, unavailable, policy, voting)
     }
 
-    /// Fails all open requests before the node exits: a response is better than a reset.
-    pub fn fail_open_requests(self: &Rc<Self>) {
+    /// Fails all open requests before the node exits: a response is better than a reset. Returns how many had no
+    /// response yet.
+    pub fn fail_open_requests(self: &Rc<Self>) -> usize {
+        let unanswered = self.open_requests();
         let open: Vec<RequestId> = self.state.borrow().requests.keys().copied().collect();
         for id in open {
             self.respond(id, FinalResponse::Failed);
             self.client_gone(id);
         }
+        unanswered
     }
 
     /// Whether one more request may be taken.
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -123,6 +123,32 @@
     Closing,
 }
 
+impl Phase {
+    /// All phases, in the order of a request.
+    pub const ALL: [Self; 7] = [
+        Self::New,
+        Self::Idle,
+        Self::ReadingHead,
+        Self::ReadingBody,
+        Self::Serving,
+        Self::Responding,
+        Self::Closing,
+    ];
+
+    /// Its name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::New => "new",
+            Self::Idle => "idle",
+            Self::ReadingHead => "reading a head",
+            Self::ReadingBody => "reading a body",
+            Self::Serving => "serving",
+            Self::Responding => "responding",
+            Self::Closing => "closing",
+        }
+    }
+}
+
 /// A socket whose messages are tracked.
 pub struct TrackedSocket {
     stream: TcpStream,
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -86,6 +86,8 @@
     }
     wait_until("all connections are accepted", || node.last_state_line().starts_with("16 clients"));
     terminate_and_wait(&node);
+    let told = "1 reading a head, 1 reading a body, 11 serving, 1 responding; 11 requests open";
+    wait_until("the node has logged what is open", || node.has_logged(told));
     for ((client, request), cut) in partial.iter_mut().zip(cuts) {
         client.send(&request[cut..]);
     }
