--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -12,9 +12,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{
-    HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING,
-};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -30,7 +28,9 @@
 use super::log;
 use super::metrics::{RequestGuard, RequestOutcome};
 use super::node::Node;
-use super::request::{end_to_end, FinalResponse, ForwardedRequest, ServerResponse, REMAINING_MS, TXN};
+use super::request::{
+    end_to_end, FinalResponse, ForwardedRequest, ServerResponse, TransferEncoding, REMAINING_MS, TXN,
+};
 use super::socket::{BodyLength, HyperIo, Phase, TrackedSocket};
 
 /// How long before the client's deadline the decision module's ends: the response still has to be written and to
@@ -556,13 +556,10 @@
 ) -> Result<(ForwardedRequest, Duration), Rejection> {
     let settings = &node.config.node_settings;
     let (parts, body) = request.into_parts();
-    let mut encodings = parts.headers.get_all(TRANSFER_ENCODING).iter();
-    if let Some(encoding) = encodings.next() {
-        // A request whose end can be determined in two ways may hide another request (RFC 9112, section 6.1).
-        let only_chunked = encodings.next().is_none() && encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
-        if ambiguous_framing || !only_chunked {
-            return Err(Rejection { status: StatusCode::BAD_REQUEST, close: true });
-        }
+    let encoding = TransferEncoding::of(&parts.headers);
+    // A request whose end can be determined in two ways may hide another request (RFC 9112, section 6.1).
+    if encoding == TransferEncoding::Other || (encoding == TransferEncoding::Chunked && ambiguous_framing) {
+        return Err(Rejection { status: StatusCode::BAD_REQUEST, close: true });
     }
     let declared = parts.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
     // If the body is not read before the response is sent, the connection cannot be reused.
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use hyper::header::{HeaderName, HeaderValue, CONNECTION, HOST};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, HOST, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Uri};
 use tulipmount::{Millis, RequestId, ServerId};
 
@@ -16,6 +16,29 @@
 /// The header with the milliseconds that are left for a request.
 pub const REMAINING_MS: HeaderName = HeaderName::from_static("x-remaining-ms");
 
+/// The transfer encoding that a message's headers name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransferEncoding {
+    /// None.
+    Absent,
+    /// `chunked` and nothing else: the end of the message is clear.
+    Chunked,
+    /// Another one, or several.
+    Other,
+}
+
+impl TransferEncoding {
+    /// The one of these headers.
+    pub fn of(headers: &HeaderMap) -> Self {
+        let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+        match (encodings.next(), encodings.next()) {
+            (None, _) => Self::Absent,
+            (Some(one), None) if one.as_bytes().eq_ignore_ascii_case(b"chunked") => Self::Chunked,
+            _ => Self::Other,
+        }
+    }
+}
+
 /// A request in the form that is sent to a server.
 pub struct ForwardedRequest {
     /// The index of its class.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -11,7 +11,7 @@
 
 use hyper::body::Body;
 use hyper::client::conn::http1::Connection;
-use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH};
 use hyper::{HeaderMap, Request, StatusCode};
 use tokio::time::{timeout, timeout_at};
 use tulipmount::{Outcome, RequestId, ServerId};
@@ -22,7 +22,9 @@
 use super::log;
 use super::node::Node;
 use super::pool::ServerConnection;
-use super::request::{end_to_end, AttemptTarget, ForwardedRequest, ServerResponse, REMAINING_MS};
+use super::request::{
+    end_to_end, AttemptTarget, ForwardedRequest, ServerResponse, TransferEncoding, REMAINING_MS,
+};
 use super::socket::{BodyLength, HyperIo, TrackedSocket};
 
 /// How slowly the body of a response may arrive: a server that sends nothing for that long counts as dead.
@@ -329,11 +331,11 @@
 /// Whether the end of a response with these headers is unambiguous. hyper accepts any encoding that ends with
 /// chunks, also beside a length, and otherwise reads to the end of the connection.
 fn has_clear_framing(headers: &HeaderMap) -> bool {
-    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
-    encodings.next().is_none_or(|encoding| {
-        let chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
-        chunked && encodings.next().is_none() && !headers.contains_key(CONTENT_LENGTH)
-    })
+    match TransferEncoding::of(headers) {
+        TransferEncoding::Absent => true,
+        TransferEncoding::Chunked => !headers.contains_key(CONTENT_LENGTH),
+        TransferEncoding::Other => false,
+    }
 }
 
 /// Whether the connection has ended. Only when polled does hyper see bytes behind the response and close.
