Log a response that breaks off while it is passed on, and trace the spoilt ones with it

Which form they have stays open; what a server ends by closing its connection can't be told from a whole one.

--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -75,6 +75,12 @@
     /// Drives the connection until the response has ended.
     async fn pass_on(mut self, node: &Node, server: ServerId) {
         let state = drive(&mut self.connection.driver, self.monitor.ended()).await;
+        if state == BodyState::Failed {
+            let form =
+                self.length.map_or("chunks or no length".to_owned(), |length| format!("{length} bytes"));
+            let addr = self.addr;
+            log::limited(|| format!("response of {form} from {addr} broke off while it was passed on"));
+        }
         if state == BodyState::Complete && self.reusable && !has_ended(&mut self.connection.driver).await {
             return_to_pool(node, server, self.addr, self.connection, self.length);
         }
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -171,6 +171,10 @@
         }
     }
     assert_eq!(server.requests().len(), 4, "none was retried");
+    for form in ["300000 bytes", "chunks or no length"] {
+        let line = format!("response of {form} from {} broke off while it was passed on", server.address);
+        wait_until("the broken response is logged", || node.has_logged(&line));
+    }
 }
 
 /// A long response is counted once, when it has ended: as a success if all of it was sent, else as an error. Until then
