Move the reading of a client's request into a module of its own

Change: src/net/incoming.rs holds what reads and checks a request.

The unit tests and the suites node, bodies and settings pass (75 tests).

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -12,25 +12,21 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use percent_encoding::percent_decode_str;
+use hyper::{Method, Request, Response, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::timeout;
-use tulipmount::{Idempotency, Millis, RequestId};
+use tulipmount::{Millis, RequestId};
 
-use super::bodies::{
-    receive, BodyError, BodyKind, BodyLimits, BodyState, LimitedBody, OutgoingBody, ReceivedBody,
-};
+use super::bodies::{BodyState, OutgoingBody, ReceivedBody};
+use super::incoming::{read_request, Rejection};
 use super::log;
 use super::metrics::{RequestGuard, RequestOutcome};
 use super::node::Node;
-use super::request::{
-    end_to_end, FinalResponse, ForwardedRequest, ServerResponse, TransferEncoding, REMAINING_MS, TXN,
-};
+use super::request::{FinalResponse, ForwardedRequest, ServerResponse, TXN};
 use super::socket::{BodyLength, HyperIo, Phase, TrackedSocket};
 
 /// How long before the client's deadline the decision module's ends: the response still has to be written and to
@@ -38,27 +34,16 @@
 const MODULE_MARGIN: Duration = Duration::from_millis(20);
 /// How long before the client's deadline the node responds if the decision module has not.
 const NODE_MARGIN: Duration = Duration::from_millis(9);
-/// Longer deadlines are cut to this, in milliseconds.
-const MAX_REMAINING_MS: u64 = 600_000;
 /// How long a request's head may take to arrive; for the first one, from the connection's start. Clients that send
 /// nothing valid must be disconnected within 3 s; those without a request may be after 2 s.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2200);
 /// How long a client may read nothing of a response.
 const UNREAD_RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
-/// How slowly a request's body may arrive: at half of the rate that clients are allowed. A client that sends a head
-/// and no more must still be disconnected in time.
-const REQUEST_BODY_LIMITS: BodyLimits = BodyLimits {
-    max_wait: Duration::from_millis(2000),
-    extra_per_kib: Duration::from_millis(32),
-    max_bytes: MAX_BODY_BYTES,
-};
 /// Requests that take longer to arrive are logged.
 const SLOW_ARRIVAL: Duration = Duration::from_millis(10);
 /// How long a connection is read, and its bytes discarded, after its write side was shut down behind the last
 /// response: unread bytes would cause a reset, which may overtake the response. Ends early when the peer closes.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(2000);
-/// The longest body of a request, in bytes.
-const MAX_BODY_BYTES: usize = 32 << 20;
 /// The largest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// How long a connection is left alone before it is closed to stop the node or to make room: a new or idle one waits
@@ -69,16 +54,8 @@
 /// The pause before accepting again when descriptors have run out, and between checks for room.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
-/// The header with the name of the tenant.
-const TENANT: HeaderName = HeaderName::from_static("x-org");
-/// The header with the client's estimate of the request's work, in microseconds.
-const ESTIMATE: HeaderName = HeaderName::from_static("x-estimate");
-/// The header, with the value 1, of a request that its client has sent before.
-const RESENT: HeaderName = HeaderName::from_static("x-resent");
 /// The response header with the epoch of the policy under which the request was taken.
 const POLICY_EPOCH: HeaderName = HeaderName::from_static("x-policy-epoch");
-/// The header with the idempotency key of a request that may be repeated by key.
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// The connection of one client.
 struct Client {
@@ -521,125 +498,6 @@
     response
 }
 
-/// Why a request is rejected, and whether its connection must be closed.
-struct Rejection {
-    status: StatusCode,
-    close: bool,
-}
-
-impl From<StatusCode> for Rejection {
-    fn from(status: StatusCode) -> Self {
-        Self { status, close: false }
-    }
-}
-
-/// The value of a header that may occur only once; an error if it is repeated or is not visible ASCII.
-fn header<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Rejection> {
-    let mut values = headers.get_all(name).iter();
-    match (values.next(), values.next()) {
-        (None, _) => Ok(None),
-        (Some(value), None) => value.to_str().map(Some).map_err(|_| StatusCode::BAD_REQUEST.into()),
-        _ => Err(StatusCode::BAD_REQUEST.into()),
-    }
-}
-
-/// Checks an id or key: 1 to 256 visible characters.
-fn token(value: Option<&str>) -> Result<&str, Rejection> {
-    let valid = |v: &&str| (1..=256).contains(&v.len()) && v.bytes().all(|b| b.is_ascii_graphic());
-    value.filter(valid).ok_or(StatusCode::BAD_REQUEST.into())
-}
-
-async fn read_request(
-    node: &Node,
-    request: Request<Incoming>,
-    ambiguous_framing: bool,
-) -> Result<(ForwardedRequest, Duration), Rejection> {
-    let settings = &node.config.node_settings;
-    let (parts, body) = request.into_parts();
-    let encoding = TransferEncoding::of(&parts.headers);
-    // A request whose end can be determined in two ways may hide another request (RFC 9112, section 6.1).
-    if encoding == TransferEncoding::Other || (encoding == TransferEncoding::Chunked && ambiguous_framing) {
-        return Err(Rejection { status: StatusCode::BAD_REQUEST, close: true });
-    }
-    let declared = parts.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-    // If the body is not read before the response is sent, the connection cannot be reused.
-    let reject_unread =
-        |status| Rejection { status, close: declared != Some(0) && !hyper::body::Body::is_end_stream(&body) };
-    if declared.is_some_and(|n| n > MAX_BODY_BYTES as u64) {
-        return Err(reject_unread(StatusCode::PAYLOAD_TOO_LARGE));
-    }
-    // The class name is literal or percent-encoded; no class has an empty name.
-    let name = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let class = |name: &str| settings.class_names.iter().position(|c| c == name);
-    let decoded = || class(&percent_decode_str(name).decode_utf8().ok()?);
-    let class = class(name).or_else(decoded).ok_or_else(|| reject_unread(StatusCode::NOT_FOUND))?;
-    let checked = check_headers(&parts.method, &parts.headers, settings.settings.classes[class].idempotency);
-    let remaining = checked.map_err(|rejection| reject_unread(rejection.status))?;
-    // A tenant's name may have non-ASCII letters. A repeated header counts as none.
-    let mut orgs = parts.headers.get_all(&TENANT).iter();
-    let org = orgs.next().filter(|_| orgs.next().is_none());
-    let tenant =
-        org.and_then(|org| settings.tenant_names.iter().position(|t| t.as_bytes() == org.as_bytes()));
-    let mut uri = Uri::builder();
-    if let Some(path) = parts.uri.path_and_query() {
-        uri = uri.path_and_query(path.clone());
-    }
-    let uri = uri.build().map_err(|_| reject_unread(StatusCode::BAD_REQUEST))?;
-    let body = match receive(
-        LimitedBody::new(body, REQUEST_BODY_LIMITS),
-        &node.body_budget,
-        BodyKind::Request,
-    )
-    .await
-    {
-        Ok(body) => body.into(),
-        Err(BodyError::TooSlow) => {
-            return Err(Rejection { status: StatusCode::REQUEST_TIMEOUT, close: true })
-        }
-        Err(BodyError::TooLong) => {
-            return Err(Rejection { status: StatusCode::PAYLOAD_TOO_LARGE, close: true })
-        }
-        Err(BodyError::NoMemory) => {
-            return Err(Rejection { status: StatusCode::SERVICE_UNAVAILABLE, close: true })
-        }
-        Err(BodyError::Connection(_)) => {
-            return Err(Rejection { status: StatusCode::BAD_REQUEST, close: true })
-        }
-    };
-    let mut headers = end_to_end(&parts.headers);
-    headers.remove(REMAINING_MS);
-    // An estimate that cannot be parsed is ignored.
-    let estimated_work = headers.get(ESTIMATE).and_then(|v| v.to_str().ok()?.parse::<u32>().ok());
-    let estimated_work = estimated_work.map(|us| f64::from(us) / 1000.0);
-    let resent = headers.get(RESENT).is_some_and(|v| v == "1");
-    if !headers.contains_key(HOST) {
-        headers.insert(HOST, HeaderValue::from_static("service.internal"));
-    }
-    Ok((
-        ForwardedRequest { class, tenant, resent, estimated_work, method: parts.method, uri, headers, body },
-        remaining,
-    ))
-}
-
-/// Checks the headers that a request must have, and returns the time that it has left.
-fn check_headers(
-    method: &Method,
-    headers: &HeaderMap,
-    idempotency: Idempotency,
-) -> Result<Duration, Rejection> {
-    token(header(headers, &TXN)?)?;
-    let remaining = header(headers, &REMAINING_MS)?.filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
-    let remaining = remaining.and_then(|v| v.parse::<u64>().ok()).ok_or(StatusCode::BAD_REQUEST)?;
-    let expected = if idempotency == Idempotency::Safe { Method::GET } else { Method::POST };
-    if *method != expected {
-        return Err(StatusCode::BAD_REQUEST.into());
-    }
-    if matches!(idempotency, Idempotency::Keyed { .. }) {
-        token(header(headers, &IDEMPOTENCY_KEY)?)?;
-    }
-    Ok(Duration::from_millis(remaining.min(MAX_REMAINING_MS)))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 //! - `servers`, `discovery`: I/O that the node starts, and that reports back to it,
 //! - `io_tasks`: those two as the node's [`node::NodeIo`],
 //! - `replica`, `membership`: the node as a member of its fleet, which agrees on a policy,
+//! - `incoming`: the reading and checking of a client's request,
 //! - `clients`, `admin`: the servers for clients and operators, started by the program.
 
 pub mod admin;
@@ -20,6 +21,7 @@
 pub mod config;
 pub mod discovery;
 pub mod epoch_file;
+pub mod incoming;
 pub mod io_tasks;
 pub mod listen;
 pub mod log;
