Have a process with a successor give up connections whose requests do not progress

Callers saw: nothing yet in service. An old process and its successor together may pass the node's limit of descriptors in a crowd, and the platform kills a node for that, with all that it has taken.

Cause: at SIGTERM Clients::shrink closed idle connections beyond the old process's share, a quarter of the room, once. Half-sent requests are not idle, so that 42 of 44 stayed for up to 2.2 s, while the successor took its three quarters.

Test: a_process_with_a_successor_soon_gives_up_connections_whose_requests_do_not_progress. A first form of it failed with a mutant that leaves half-sent requests alone.

Why this works: shrink goes by the order in which room is made anywhere else, and is asked until the process ends, as what came just before SIGTERM has 0.2 s for its next bytes. Connections behind their last response keep 0.2 s for their client's close.

--- a/src/main.rs
+++ b/src/main.rs
@@ -191,13 +191,13 @@
         node.open_requests()
     ));
     clients.serve_waiting();
-    if node.config.inherited_fd.is_some() {
+    let has_successor = node.config.inherited_fd.is_some();
+    if has_successor {
         // New connections are the successor's, and so are the descriptors that they need. Clients move over to it
         // with responses that close their connection; closing an idle connection may cross a request on it.
         drop(listener);
         node.share_memory();
         node.pool.shrink(node.max_server_connections());
-        clients.shrink();
         close_idle_at = kill_at - CLOSE_IDLE_BEFORE_KILL;
     } else {
         let _ = tokio::time::timeout(ACCEPT_AFTER_SIGTERM, clients.accept(&listener)).await;
@@ -209,6 +209,9 @@
     }
     // A client that reads slowly gets its response until SIGKILL comes: to exit earlier would lose it.
     while clients.open_connections() > 0 || node.open_requests() > 0 {
+        if has_successor {
+            clients.shrink();
+        }
         if Instant::now() >= close_idle_at {
             clients.close_idle();
         }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -103,10 +103,10 @@
         }
     }
 
-    /// Closes idle connections until no more than the limit are open, or none is idle.
+    /// Closes connections until no more than the limit are open: idle ones, and those whose request does not progress.
     pub fn shrink(&self) {
         while self.open_connections() - self.evicted.get() > self.node.max_client_connections()
-            && self.evict(false)
+            && self.evict(GRACE_TIME)
         {}
     }
 
@@ -123,7 +123,7 @@
                         log::line(format!("accept: {error}"));
                     }
                     if !self.node.pool.evict() {
-                        self.evict(true);
+                        self.evict(Duration::ZERO);
                     }
                     tokio::time::sleep(ACCEPT_BACKOFF).await;
                 }
@@ -144,7 +144,7 @@
         self.waiting.set(Some(stream));
         while self.open_connections() >= self.node.max_client_connections() {
             if self.evicted.get() == 0 {
-                self.evict(true);
+                self.evict(Duration::ZERO);
             }
             // A busy connection may become idle without a notification.
             let _ = timeout(ACCEPT_BACKOFF, self.closed.notified()).await;
@@ -201,18 +201,18 @@
         }
     }
 
-    /// Closes the connection that has been idle for longest; if there is none and `include_arriving` is set, the
-    /// one whose request has not progressed for longest. False if no connection can be closed.
-    fn evict(&self, include_arriving: bool) -> bool {
+    /// Closes the connection that has been idle for longest; if there is none, the one whose request has not
+    /// progressed for longest. One that has sent its last response is left to its client for `linger_time`. False if
+    /// no connection can be closed.
+    fn evict(&self, linger_time: Duration) -> bool {
         let (open, now) = (self.open.borrow(), Instant::now());
-        let waits_long = |since: Instant| now.saturating_duration_since(since) >= GRACE_TIME;
+        let lasts = |since: Instant, time: Duration| now.saturating_duration_since(since) >= time;
         let rank = |c: &Client| match c.socket.phase() {
             _ if c.evicted.get() => None,
-            (Phase::New, since) if !waits_long(since) => None,
+            (Phase::New, since) if !lasts(since, GRACE_TIME) => None,
+            (Phase::Closing, since) if !lasts(since, linger_time) => None,
             (Phase::New | Phase::Idle | Phase::Closing, since) => Some((0, since)),
-            (Phase::ReadingHead | Phase::ReadingBody, _)
-                if include_arriving && waits_long(c.socket.last_received()) =>
-            {
+            (Phase::ReadingHead | Phase::ReadingBody, _) if lasts(c.socket.last_received(), GRACE_TIME) => {
                 Some((1, c.socket.last_received()))
             }
             _ => None,
