Close unread what waits for long behind a full node whose clients send nothing

Callers saw: while 1,500 connections came at once that sent nothing or half a request, requests on new connections were not answered by their time, for some 7 s; some reached a server after their client had gone.

Cause: a connection without room waits in the kernel's backlog, in order and for any time. Silent clients are left 0.2 s before they make room, so that 44 connections let in 220 a second, and most of what is behind them is of the same crowd (Clients::serve_with_room, which nothing bounds).

Why this works: the moment at which the backlog was last seen empty bounds the age of all in it. Where most connections are being served nothing is closed: behind those a wait is for a turn.

--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
 
 use net::admin::Admin;
 use net::advice::Advice;
+use net::backlog::Backlog;
 use net::clients::Clients;
 use net::config::{self, Config, ConfigError};
 use net::io_tasks::IoTasks;
@@ -20,7 +21,6 @@
 use net::membership::MembershipSetup;
 use net::node::Node;
 use thiserror::Error;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 use tulipmount::SettingsError;
@@ -124,6 +124,7 @@
     }
     log::line(format!("{} listens at {address}", node.config.name));
     let clients = Clients::new(node.clone());
+    let backlog = Backlog::new(listener);
     spawn_local(node.clone().run_timer());
     spawn_local(sweep(node.clone(), clients.clone()));
     spawn_local(reload(node.clone(), hangup));
@@ -132,14 +133,14 @@
             // An older process serves until this one can.
             node.until_ready().await;
         }
-        clients.accept(&listener).await;
+        clients.accept(&backlog).await;
     };
     tokio::select! {
         () = accept => {}
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    stop(&node, &clients, listener).await;
+    stop(&node, &clients, backlog).await;
     if let Some(membership) = membership {
         membership.leave(Instant::now() + LEAVE_TIMEOUT).await;
     }
@@ -177,7 +178,7 @@
 
 /// Finishes all open requests. Without a successor, clients go on connecting for a while, and use the connections
 /// that they have for as long as those stay open.
-async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, listener: TcpListener) {
+async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, backlog: Backlog) {
     let stop_requested = Instant::now();
     node.stopping_since.set(Some(stop_requested));
     let max_deadline =
@@ -195,17 +196,17 @@
     if has_successor {
         // New connections are the successor's, and so are the descriptors that they need. Clients move over to it
         // with responses that close their connection; closing an idle connection may cross a request on it.
-        drop(listener);
+        drop(backlog);
         node.share_memory();
         node.pool.shrink(node.max_server_connections());
         close_idle_at = kill_at - CLOSE_IDLE_BEFORE_KILL;
     } else {
-        let _ = tokio::time::timeout(ACCEPT_AFTER_SIGTERM, clients.accept(&listener)).await;
+        let _ = tokio::time::timeout(ACCEPT_AFTER_SIGTERM, clients.accept(&backlog)).await;
         clients.serve_waiting();
         // They may keep arriving without end.
-        let _ = tokio::time::timeout(BACKLOG_TIMEOUT, clients.accept_queued(&listener)).await;
+        let _ = tokio::time::timeout(BACKLOG_TIMEOUT, clients.accept_queued(&backlog)).await;
         clients.serve_waiting();
-        drop(listener);
+        drop(backlog);
     }
     // A client that reads slowly gets its response until SIGKILL comes: to exit earlier would lose it.
     while clients.open_connections() > 0 || node.open_requests() > 0 {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -16,11 +16,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::timeout;
 use tulipmount::{Millis, RequestId};
 
+use super::backlog::Backlog;
 use super::bodies::{BodyState, OutgoingBody, ReceivedBody};
 use super::incoming::{read_request, Rejection};
 use super::log;
@@ -49,6 +50,8 @@
 /// How long a connection is left alone before it is closed to stop the node or to make room: a new or idle one waits
 /// this long for a request, an arriving request for its next bytes, and a closing one for the peer's close.
 const GRACE_TIME: Duration = Duration::from_millis(200);
+/// How long a client has sent nothing when it counts as silent: longer than it takes to read what has arrived.
+const SILENT_AFTER: Duration = Duration::from_millis(75);
 /// The least time between log lines about the same error.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// The pause before accepting again when descriptors have run out, and between checks for room.
@@ -65,6 +68,17 @@
     evicted: Cell<bool>,
 }
 
+impl Client {
+    /// Since when the node has waited for the client to send or to close; `None` while it serves a request.
+    fn silent_since(&self) -> Option<Instant> {
+        match self.socket.phase() {
+            (Phase::New | Phase::Idle | Phase::Closing, since) => Some(since),
+            (Phase::ReadingHead | Phase::ReadingBody, _) => Some(self.socket.last_received()),
+            (Phase::Serving | Phase::Responding, _) => None,
+        }
+    }
+}
+
 /// The connections of clients.
 pub struct Clients {
     node: Rc<Node>,
@@ -111,11 +125,11 @@
     }
 
     /// Accepts connections; never returns.
-    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+    pub async fn accept(self: &Rc<Self>, backlog: &Backlog) {
         let mut last_logged: Option<Instant> = None;
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => self.serve_with_room(stream).await,
+            match backlog.accept().await {
+                Ok(stream) => self.serve_with_room(stream, backlog).await,
                 Err(error) => {
                     // Usually out of descriptors: idle connections make room, and the backlog waits.
                     if last_logged.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
@@ -132,17 +146,18 @@
     }
 
     /// Accepts the connections that are left in the backlog, as far as there is room for them.
-    pub async fn accept_queued(self: &Rc<Self>, listener: &TcpListener) {
-        while let Ok(Ok((stream, _))) = timeout(ACCEPT_BACKOFF, listener.accept()).await {
-            self.serve_with_room(stream).await;
+    pub async fn accept_queued(self: &Rc<Self>, backlog: &Backlog) {
+        while let Ok(Ok(stream)) = timeout(ACCEPT_BACKOFF, backlog.accept()).await {
+            self.serve_with_room(stream, backlog).await;
         }
     }
 
     /// Serves a connection that was just accepted. Makes room for it first, where there is none, and never by closing
     /// a connection as new as this. If the call is dropped meanwhile, the connection waits in `waiting`.
-    async fn serve_with_room(self: &Rc<Self>, stream: TcpStream) {
+    async fn serve_with_room(self: &Rc<Self>, stream: TcpStream, backlog: &Backlog) {
         self.waiting.set(Some(stream));
         while self.open_connections() >= self.node.max_client_connections() {
+            self.limit_standing_time(backlog);
             if self.evicted.get() == 0 {
                 self.evict(Duration::ZERO);
             }
@@ -152,6 +167,29 @@
         self.serve_waiting();
     }
 
+    /// Closes unread what has waited for too long behind clients that send nothing. Otherwise requests behind a crowd
+    /// of those wait until their time is over. Behind requests that are served they wait for their turn.
+    fn limit_standing_time(&self, backlog: &Backlog) {
+        if !backlog.is_overdue() || !self.is_mostly_silent() {
+            return;
+        }
+        let closed = backlog.close_queued();
+        if closed > 0 {
+            log::limited(|| {
+                let phases = self.describe_phases();
+                format!("closed {closed} new connections unread, as silent clients take all room: {phases}")
+            });
+        }
+    }
+
+    /// Whether at least half of the open connections are held by clients that send nothing.
+    fn is_mostly_silent(&self) -> bool {
+        let open = self.open.borrow();
+        let is_silent =
+            |client: &&Rc<Client>| client.silent_since().is_some_and(|at| at.elapsed() >= SILENT_AFTER);
+        open.values().filter(is_silent).count() * 2 >= open.len()
+    }
+
     /// Serves the connection that waits for room, if there is one.
     pub fn serve_waiting(self: &Rc<Self>) {
         if let Some(stream) = self.waiting.take() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,12 +9,14 @@
 //! - `servers`, `discovery`: I/O that the node starts, and that reports back to it,
 //! - `io_tasks`: those two as the node's [`node::NodeIo`],
 //! - `replica`, `membership`: the node as a member of its fleet, which agrees on a policy,
+//! - `backlog`: connections that wait to be accepted,
 //! - `incoming`: the reading and checking of a client's request,
 //! - `clients`, `admin`: the servers for clients and operators, started by the program.
 
 pub mod admin;
 pub mod admission;
 pub mod advice;
+pub mod backlog;
 pub mod bans;
 pub mod bodies;
 pub mod clients;
