Take the time that a request waits for room off what servers are told

Callers saw: in a crowd servers worked for clients that had gone, told up to 2 s more than those had left, where the platform allows 0.15 s.

Cause: Clients::respond counted a request's time from the read of its last byte, also where that had waited in the backlog, or on an accepted connection without room.

Mutants: no wait recorded, not recorded again while the connection is silent, the backlog always taken for empty, the mark never taken off, and everything closed behind busy connections: each fails one of them.

Why this works: nothing in the backlog is older than the last moment at which it was seen empty, and the accepted connection that waits is looked at every 20 ms. What is unread when a connection is served counts from there; what comes later, as before. A successor counts what it finds at its first look as 0.15 s old. Where there is room nothing changes.

--- a/src/main.rs
+++ b/src/main.rs
@@ -132,6 +132,7 @@
         if node.config.inherited_fd.is_some() {
             // An older process serves until this one can.
             node.until_ready().await;
+            backlog.take_over();
         }
         clients.accept(&backlog).await;
     };
--- a/src/net/backlog.rs
+++ b/src/net/backlog.rs
@@ -13,11 +13,37 @@
 use tokio::task::unconstrained;
 
 use super::listen::ACCEPT_BACKLOG;
+use super::socket::is_quiet;
 
 /// How long the backlog may stand, never empty, before what it holds has waited for too long: as long as the time that
 /// a server is told may exceed what its client has left.
 const MAX_STANDING_TIME: Duration = Duration::from_millis(150);
 
+/// A connection that was accepted and is not served yet.
+pub struct AcceptedConnection {
+    stream: TcpStream,
+    /// The earliest moment at which bytes that wait to be read may have arrived; `None` if the connection was
+    /// accepted as soon as it came, and served at once.
+    queued_since: Option<Instant>,
+}
+
+impl AcceptedConnection {
+    /// Notes that the connection has to wait. Must be called again while it waits, as what arrives between two calls
+    /// counts from the first of them.
+    pub fn record_wait(&mut self) {
+        if self.queued_since.is_none() || is_quiet(&self.stream) {
+            self.queued_since = Some(Instant::now());
+        }
+    }
+
+    /// The stream, and the earliest moment at which bytes that can be read from it now may have arrived, if that may
+    /// have been before now.
+    pub fn into_parts(self) -> (TcpStream, Option<Instant>) {
+        let queued_since = self.queued_since.filter(|_| !is_quiet(&self.stream));
+        (self.stream, queued_since)
+    }
+}
+
 /// A listener, and when its backlog was last seen empty.
 pub struct Backlog {
     listener: TcpListener,
@@ -25,16 +51,23 @@
 }
 
 impl Backlog {
-    /// The backlog of a listener. What it holds by now counts as having come now.
+    /// The backlog of a listener that no other process has used.
     pub fn new(listener: TcpListener) -> Self {
         Self { listener, last_empty: Cell::new(Instant::now()) }
     }
 
+    /// Notes that another process has accepted from it until now. It lets connections wait no longer than this one does,
+    /// unless all are in use.
+    pub fn take_over(&self) {
+        let now = Instant::now();
+        self.last_empty.set(now.checked_sub(MAX_STANDING_TIME).unwrap_or(now));
+    }
+
     /// Accepts the next connection, once there is one.
     ///
     /// # Errors
     /// The system's error, usually that there are too many descriptors.
-    pub async fn accept(&self) -> io::Result<TcpStream> {
+    pub async fn accept(&self) -> io::Result<AcceptedConnection> {
         let mut was_empty = false;
         let next = poll_fn(|cx| {
             let accepted = self.listener.poll_accept(cx);
@@ -46,7 +79,8 @@
         if was_empty {
             self.last_empty.set(Instant::now());
         }
-        Ok(stream)
+        let queued_since = (!was_empty).then(|| self.last_empty.get());
+        Ok(AcceptedConnection { stream, queued_since })
     }
 
     /// Whether connections may have waited in it for too long.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -16,12 +16,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use tokio::net::TcpStream;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::timeout;
 use tulipmount::{Millis, RequestId};
 
-use super::backlog::Backlog;
+use super::backlog::{AcceptedConnection, Backlog};
 use super::bodies::{BodyState, OutgoingBody, ReceivedBody};
 use super::incoming::{read_request, Rejection};
 use super::log;
@@ -88,7 +87,7 @@
     last_number: Cell<u64>,
     closed: Notify,
     /// An accepted connection that waits for room.
-    waiting: Cell<Option<TcpStream>>,
+    waiting: Cell<Option<AcceptedConnection>>,
 }
 
 impl Clients {
@@ -129,7 +128,7 @@
         let mut last_logged: Option<Instant> = None;
         loop {
             match backlog.accept().await {
-                Ok(stream) => self.serve_with_room(stream, backlog).await,
+                Ok(connection) => self.serve_with_room(connection, backlog).await,
                 Err(error) => {
                     // Usually out of descriptors: idle connections make room, and the backlog waits.
                     if last_logged.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
@@ -147,16 +146,17 @@
 
     /// Accepts the connections that are left in the backlog, as far as there is room for them.
     pub async fn accept_queued(self: &Rc<Self>, backlog: &Backlog) {
-        while let Ok(Ok(stream)) = timeout(ACCEPT_BACKOFF, backlog.accept()).await {
-            self.serve_with_room(stream, backlog).await;
+        while let Ok(Ok(connection)) = timeout(ACCEPT_BACKOFF, backlog.accept()).await {
+            self.serve_with_room(connection, backlog).await;
         }
     }
 
     /// Serves a connection that was just accepted. Makes room for it first, where there is none, and never by closing
     /// a connection as new as this. If the call is dropped meanwhile, the connection waits in `waiting`.
-    async fn serve_with_room(self: &Rc<Self>, stream: TcpStream, backlog: &Backlog) {
-        self.waiting.set(Some(stream));
+    async fn serve_with_room(self: &Rc<Self>, connection: AcceptedConnection, backlog: &Backlog) {
+        self.waiting.set(Some(connection));
         while self.open_connections() >= self.node.max_client_connections() {
+            self.record_wait();
             self.limit_standing_time(backlog);
             if self.evicted.get() == 0 {
                 self.evict(Duration::ZERO);
@@ -190,10 +190,17 @@
         open.values().filter(is_silent).count() * 2 >= open.len()
     }
 
+    fn record_wait(&self) {
+        if let Some(mut connection) = self.waiting.take() {
+            connection.record_wait();
+            self.waiting.set(Some(connection));
+        }
+    }
+
     /// Serves the connection that waits for room, if there is one.
     pub fn serve_waiting(self: &Rc<Self>) {
-        if let Some(stream) = self.waiting.take() {
-            self.serve(stream);
+        if let Some(connection) = self.waiting.take() {
+            self.serve(connection);
         }
     }
 
@@ -271,8 +278,9 @@
         true
     }
 
-    fn serve(self: &Rc<Self>, stream: TcpStream) {
-        let Ok(socket) = TrackedSocket::new(stream) else { return };
+    fn serve(self: &Rc<Self>, connection: AcceptedConnection) {
+        let (stream, unread_since) = connection.into_parts();
+        let Ok(socket) = TrackedSocket::with_unread_bytes(stream, unread_since) else { return };
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
         let client = Rc::new(Client { socket, close: Notify::new(), evicted: Cell::new(false) });
@@ -366,7 +374,7 @@
                 if arrival >= SLOW_ARRIVAL {
                     log::limited(|| format!("{}: request took {arrival:.1?} to arrive", request.txn()));
                 }
-                admit_and_serve(&node, request, remaining, socket.last_received()).await
+                admit_and_serve(&node, request, remaining, socket.last_arrival()).await
             }
             Err(Rejection { status, close }) => {
                 let mut response = empty_response(status);
@@ -423,7 +431,8 @@
 }
 
 /// Admits a request, if possible, and waits for its final response. Its time counts from its last byte, which
-/// arrived at `received` or earlier: a pipelined request has waited for the response to the one before it.
+/// arrived at `received`. A pipelined request may have arrived earlier, and waited for the response to the one before
+/// it.
 async fn admit_and_serve(
     node: &Rc<Node>,
     request: ForwardedRequest,
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -149,6 +149,14 @@
     }
 }
 
+/// Whether there is nothing to read and the peer has not closed. Asks the kernel, as the runtime's knowledge may be one
+/// turn of its loop old.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit(); 1];
+    let peeked = SockRef::from(stream).peek(&mut byte);
+    matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
 /// A socket whose messages are tracked.
 pub struct TrackedSocket {
     stream: TcpStream,
@@ -168,6 +176,10 @@
     request_started: Cell<Instant>,
     /// When bytes were last received.
     last_received: Cell<Instant>,
+    /// When the last received bytes arrived, at the earliest.
+    last_arrival: Cell<Instant>,
+    /// The earliest moment at which the bytes that are read next may have arrived; `None` if they are read as they come.
+    unread_since: Cell<Option<Instant>>,
     /// The framing headers of the request.
     framing: RefCell<FramingHeaders>,
 }
@@ -178,6 +190,15 @@
     /// # Errors
     /// The system's error if the socket is already broken.
     pub fn new(stream: TcpStream) -> io::Result<Rc<Self>> {
+        Self::with_unread_bytes(stream, None)
+    }
+
+    /// Takes over a connected stream like [`Self::new`]. It holds unread bytes that may have arrived as early as
+    /// `unread_since`.
+    ///
+    /// # Errors
+    /// The system's error if the socket is already broken.
+    pub fn with_unread_bytes(stream: TcpStream, unread_since: Option<Instant>) -> io::Result<Rc<Self>> {
         stream.set_nodelay(true)?;
         let now = Instant::now();
         Ok(Rc::new(Self {
@@ -191,6 +212,8 @@
             phase_since: Cell::new(now),
             request_started: Cell::new(now),
             last_received: Cell::new(now),
+            last_arrival: Cell::new(now),
+            unread_since: Cell::new(unread_since),
             framing: RefCell::default(),
         }))
     }
@@ -203,6 +226,7 @@
         self.sent_counter.replace(sent_counter);
         self.sent_length.replace(length);
         self.last_write.set(Instant::now());
+        self.unread_since.set(None);
         *self.sent.borrow_mut() = MessageProgress::default();
         *self.received.borrow_mut() = MessageProgress::default();
     }
@@ -272,6 +296,12 @@
         self.last_received.get()
     }
 
+    /// The earliest moment at which the last received bytes may have arrived: when they were read, unless they had
+    /// waited with the connection to be accepted.
+    pub fn last_arrival(&self) -> Instant {
+        self.last_arrival.get()
+    }
+
     /// Whether the head of the current request has both a `Content-Length` and a `Transfer-Encoding`. For a
     /// pipelined request this is unknown, and true.
     pub fn has_ambiguous_framing(&self) -> bool {
@@ -279,12 +309,9 @@
         self.phase.get() != Phase::ReadingHead || (framing.has_length && framing.has_encoding)
     }
 
-    /// Whether there is nothing to read and the peer has not closed. Asks the kernel, as the runtime's knowledge
-    /// may be one turn of its loop old.
+    /// Whether there is nothing to read and the peer has not closed.
     pub fn is_quiet(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit(); 1];
-        let peeked = SockRef::from(&self.stream).peek(&mut byte);
-        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        is_quiet(&self.stream)
     }
 
     /// Waits until the peer has closed or reset the connection or ended its sending, also if unread bytes are
@@ -342,7 +369,9 @@
 
     fn record_read(&self, bytes: &[u8]) {
         self.received.borrow_mut().record(bytes);
-        self.last_received.set(Instant::now());
+        let now = Instant::now();
+        self.last_received.set(now);
+        self.last_arrival.set(self.unread_since.get().unwrap_or(now));
         if !bytes.is_empty() && matches!(self.phase.get(), Phase::New | Phase::Idle) {
             self.request_started.set(self.last_received.get());
             self.framing.take();
@@ -388,7 +417,7 @@
                     buf.put_slice(&chunk[..n]);
                     return Poll::Ready(Ok(()));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => socket.unread_since.set(None),
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
