--- a/src/net/backlog.rs
+++ b/src/net/backlog.rs
@@ -23,7 +23,7 @@
 pub struct AcceptedConnection {
     stream: TcpStream,
     /// The earliest moment at which bytes that wait to be read may have arrived; `None` if the connection was
-    /// accepted as soon as it came, and served at once.
+    /// accepted as soon as it came, and has not waited since.
     queued_since: Option<Instant>,
 }
 
@@ -56,8 +56,8 @@
         Self { listener, last_empty: Cell::new(Instant::now()) }
     }
 
-    /// Notes that another process has accepted from it until now. It lets connections wait no longer than this one does,
-    /// unless all are in use.
+    /// Notes that another process has accepted from it until now, and let connections wait as long as this one may: what
+    /// it holds by now counts as having come that long ago.
     pub fn take_over(&self) {
         let now = Instant::now();
         self.last_empty.set(now.checked_sub(MAX_STANDING_TIME).unwrap_or(now));
