--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -3,13 +3,16 @@
 Everything runs in one asyncio loop on loopback addresses with free ports.
 """
 import asyncio
+import fcntl
 import json
 import os
 import shutil
 import signal
+import struct
 import subprocess
 import sys
 import tempfile
+import termios
 import time
 import tomllib
 
@@ -187,14 +190,22 @@
 
     def __init__(self, name, record, work_ms=20.0, answer=b"ok"):
         self.name, self.record, self.work, self.answer = name, record, work_ms / 1000.0, answer
-        self.ran = []
+        self.ran, self.writers = [], set()
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, HOST, port, limit=1 << 20)
         self.port = self.server.sockets[0].getsockname()[1]
         return f"{HOST}:{self.port}"
 
+    def die(self):
+        """The process dies: its connections are reset and new ones are refused."""
+        self.record(f"app server {self.name} dies")
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -202,6 +213,7 @@
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def handle(self, message, writer):
@@ -313,6 +325,39 @@
         return None
 
 
+async def timed_request(address, txn, remaining_ms, body, watched_s, record):
+    """Sends one request on a new connection. Returns its status, or None, and for how long its answer took from when the
+    node's machine had acknowledged its last byte; None if that never was."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    # drain() returns once the kernel has the last byte.
+    writer.transport.set_write_buffer_limits(high=0)
+    writer.write(request("cert-request", txn, remaining_ms, body))
+    await writer.drain()
+    written, taken = now(), None
+    fd = writer.get_extra_info("socket").fileno()
+    answer = asyncio.ensure_future(read_message(reader))
+    while not answer.done() and now() < written + watched_s:
+        if taken is None and struct.unpack("i", fcntl.ioctl(fd, termios.TIOCOUTQ, bytes(4)))[0] == 0:
+            taken = now()
+            record(f"{txn}: the node's machine has its last byte, {1000 * (taken - written):.0f} ms after it was written")
+        await asyncio.wait([answer], timeout=0.005 if taken is None else 0.1)
+    ended, status = now(), None
+    if answer.done():
+        try:
+            status = answer.result().status
+        except (OSError, asyncio.IncompleteReadError) as error:
+            record(f"{txn}: {error!r}")
+    else:
+        answer.cancel()
+    # An answer may be there before the client looks: then it was in time.
+    took = ended - (taken if taken is not None else written) if taken is not None or status else None
+    record(f"{txn}: " + ("no answer" if status is None else f"status {status}")
+           + ("" if took is None else f", {took:.3f} s after its last byte was there"))
+    writer.close()
+    return status, took
+
+
 def pss_kib(pid):
     """What a process holds of memory, with pages that it shares counted in part; 0 once it has ended."""
     try:
