--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 
 MEMORY_MB, SOCKETS = 32, 256
 # A third of 256 descriptors is 85.
-CLIENTS = 80
+CLIENTS = 84
 BODY, ANSWER = b"x" * 64_000, b"y" * 60_000
 LOAD_S, UPGRADE_AT_S = 14.0, 5.0
 
@@ -62,7 +62,7 @@
                         answer = await standins.read_message(reader)
                         counts[answer.status] = counts.get(answer.status, 0) + 1
                         keep = answer.headers.get("connection") != "close"
-                        await asyncio.sleep(0.3)
+                        await asyncio.sleep(0.6)
                     writer.close()
                 except (OSError, asyncio.IncompleteReadError):
                     counts["closed unread"] = counts.get("closed unread", 0) + 1
