--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,7 +18,7 @@
 async def case(record, trouble):
     discovery = Discovery(record)
     address = await discovery.start()
-    servers = [AppServer(f"s{n}", lambda text: None, work_ms=50.0, answer=ANSWER) for n in range(6)]
+    servers = [AppServer(f"s{n}", record, work_ms=50.0, answer=ANSWER) for n in range(6)]
     for server in servers:
         discovery.set(server.name, await server.start())
     listener = listening_socket()
@@ -61,6 +61,7 @@
                         await writer.drain()
                         answer = await standins.read_message(reader)
                         counts[answer.status] = counts.get(answer.status, 0) + 1
+                        record(f"c{number}-{sent}: {answer.status}, {len(answer.body)} bytes")
                         keep = answer.headers.get("connection") != "close"
                         await asyncio.sleep(0.6)
                     writer.close()
@@ -87,11 +88,15 @@
             nodes[0].signal(signal.SIGTERM)
 
         await asyncio.gather(watch(), upgrade(), *[client(n) for n in range(CLIENTS)])
+        ended = nodes[-1].process.poll()
     finally:
         for node in nodes:
             node.end()
     ran = sum(len(server.ran) for server in servers)
     record(f"answers by status: {counts}; requests begun by app servers: {ran}")
+    if ended is not None:
+        record.verdict(f"the {nodes[-1].name} has ended with {ended}: BROKEN")
+        return 1
     if counts.get(200, 0) < 500:
         record.verdict("could not run: too little was served")
         return 2
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -33,10 +33,10 @@
 
     def __call__(self, text):
         self.file.write(f"{now() - self.start:9.3f} s  {text}\n")
-        self.file.flush()
 
     def verdict(self, text):
         self(text)
+        self.file.flush()
         print(text)
 
 
@@ -335,6 +335,7 @@
     writer.write(request("cert-request", txn, remaining_ms, body))
     await writer.drain()
     written, taken = now(), None
+    record(f"{txn}: sent, {len(body)} bytes of body, {remaining_ms} ms")
     fd = writer.get_extra_info("socket").fileno()
     answer = asyncio.ensure_future(read_message(reader))
     while not answer.done() and now() < written + watched_s:
@@ -369,15 +370,14 @@
 
 def main(case):
     """Runs a case: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    folder = os.path.dirname(os.path.abspath(sys.argv[0]))
-    record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record(f"the disruption is {'on' if trouble else 'off'}")
     # The finally blocks of a case end what it has started, also if the script is told to end.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
+        record = Record(os.path.dirname(os.path.abspath(sys.argv[0])))
+        trouble = os.environ.get("TROUBLE", "1") != "0"
+        record(f"the disruption is {'on' if trouble else 'off'}")
         code = asyncio.run(asyncio.wait_for(case(record, trouble), 105))
     except (Exception, KeyboardInterrupt) as error:
-        record.verdict(f"the case could not run: {error!r}")
+        print(f"the case could not run: {error!r}")
         code = 2
     sys.exit(code)
