--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -135,10 +135,29 @@
     line.split('"').nth(1).expect("a command").to_string()
 }
 
+/// Where a program's standard error goes.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Log {
+    /// To a file.
+    File,
+    /// To a pipe that is read all the time, and on to a file.
+    Read,
+    /// To a pipe that stays open and that nobody reads.
+    Unread,
+}
+
 /// Starts a program. It ends with the case.
-fn spawn(mut command: Command, log: &Path) -> u32 {
-    let log = File::create(log).expect("a log file");
-    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+fn spawn(command: Command, log: &Path) -> u32 {
+    spawn_with(command, log, Log::File)
+}
+
+fn spawn_with(mut command: Command, path: &Path, log: Log) -> u32 {
+    let mut file = File::create(path).expect("a log file");
+    command.stdin(Stdio::null()).stdout(Stdio::null());
+    match log {
+        Log::File => command.stderr(file.try_clone().expect("a log file")),
+        Log::Read | Log::Unread => command.stderr(Stdio::piped()),
+    };
     unsafe {
         command.pre_exec(|| {
             // SIGKILL when the case ends, however it ends.
@@ -146,8 +165,20 @@
             Ok(())
         });
     }
-    let child = command.spawn().expect("the program starts");
+    let mut child = command.spawn().expect("the program starts");
     let pid = child.id();
+    if let Some(mut pipe) = child.stderr.take() {
+        background(move || {
+            if log == Log::Unread {
+                // Keeps the reading end open.
+                loop {
+                    thread::sleep(Duration::from_secs(1));
+                    let _ = &pipe;
+                }
+            }
+            let _ = io::copy(&mut pipe, &mut file);
+        });
+    }
     global().children.lock().expect("the children").push(child);
     pid
 }
@@ -558,6 +589,11 @@
 impl Group {
     /// Starts a group of three replicas with the terms of the on-call page.
     pub fn start(terms: &str) -> Self {
+        Self::start_with(terms, Log::File)
+    }
+
+    /// The same, with the replicas' logs elsewhere.
+    pub fn start_with(terms: &str, log: Log) -> Self {
         let addresses: Vec<SocketAddr> = (0..3).map(|_| ([127, 0, 0, 1], free_port()).into()).collect();
         let peers: Vec<String> =
             addresses.iter().enumerate().map(|(i, a)| format!("{} = \"{a}\"", i + 1)).collect();
@@ -574,7 +610,7 @@
             fs::write(&path, text).expect("the replica's file");
             let mut command = Command::new("target/release/stoneshift");
             command.args(["--log-level", "info", "control", "--config"]).arg(&path);
-            replicas.push((spawn(command, &dir.join("log")), *address));
+            replicas.push((spawn_with(command, &dir.join("log"), log), *address));
         }
         Self { replicas }
     }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -3,6 +3,7 @@
 
 mod bans;
 mod kit;
+mod log;
 mod memory;
 mod trickle;
 mod uploads;
@@ -16,6 +17,7 @@
         "trickle" => trickle::run(),
         "memory" => memory::run(),
         "bans" => bans::run(),
+        "log" => log::run(),
         "uploads" => uploads::run(),
         _ => panic!("no such case"),
     };
