--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,6 +5,4 @@
 for program in "$cases" target/release/glenwood target/release/stoneshift; do
     [ -x "$program" ] || { echo "$program is missing: run review/build-2.sh" >&2; exit 2; }
 done
-ulimit -n 8000 2>/dev/null || ulimit -n "$(ulimit -Hn)"
-[ "$(ulimit -n)" = unlimited ] || [ "$(ulimit -n)" -ge 6000 ] || { echo "the case needs 6000 open files" >&2; exit 2; }
-exec "$cases" bans review/9/record.txt
+exec "$cases" memory review/9/record.txt
--- a/review/stand-ins-2/bans.rs
+++ b/review/stand-ins-2/bans.rs
@@ -13,8 +13,8 @@
 const SERVERS: usize = 3200;
 const NODES: usize = 900;
 const RATE: f64 = 60.0;
-/// A client's try: half of the class's 600 ms.
-const REMAINING_MS: u64 = 300;
+/// What is left of a client's time, as of one that gives up early.
+const REMAINING_MS: u64 = 150;
 
 #[repr(C)]
 struct PollFd {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,4 +1,4 @@
-//! The stand-ins and checks of the cases in `review/6` to `review/10`: `cases NUMBER RECORD`.
+//! The stand-ins and checks of the cases in `review/6` to `review/10`: `cases NAME RECORD`.
 //! Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
 
 mod bans;
