--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -349,8 +349,11 @@
 /// Serves the connections of one stream of a server; `handler` answers and says whether the connection stays.
 pub fn serve_connection(mut stream: TcpStream, handler: &Handler) {
     let _ = stream.set_nodelay(true);
-    let mut rest = Vec::new();
+    let (mut rest, at) = (Vec::new(), stream.local_addr().map_or(0, |a| a.port()));
     while let Ok(request) = read_message(&mut stream, &mut rest, false) {
+        if !request.header("x-txn").is_empty() {
+            note(format!("app server {at}: {} has come, {} bytes", request.header("x-txn"), request.body.len()));
+        }
         if !handler(&request, &mut stream) {
             return;
         }
