--- a/src/net/bodies.rs
+++ b/src/net/bodies.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep_until, Sleep};
 
-use super::memory::{MemoryBudget, OutOfMemory, Reservation, MAX_RESERVE_WAIT};
+use super::memory::{MemoryBudget, OutOfMemory, Purpose, Reservation};
 use super::metrics::{RequestGuard, RequestOutcome};
 
 /// How slowly a body may arrive, and how long it may be.
@@ -82,6 +82,13 @@
     }
 }
 
+impl LimitedBody {
+    /// Its length, if it is known.
+    fn length(&self) -> Option<usize> {
+        self.size_hint().exact().map(|length| usize::try_from(length).unwrap_or(usize::MAX))
+    }
+}
+
 impl Body for LimitedBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -199,8 +206,10 @@
 
 /// Longer than any request lasts.
 const FOREVER: Duration = Duration::from_secs(86_400);
-/// The memory that a streamed body takes: a piece in hand, and the buffers of two connections.
-const STREAMING_BYTES: usize = 128 * 1024;
+/// The memory that a streamed body takes: pieces in hand, and those that a connection has queued to be written.
+const STREAMING_BYTES: usize = 48 * 1024;
+/// The memory of a body of unknown length: it is copied into a buffer that doubles as it grows.
+const UNKNOWN_LENGTH_BYTES: usize = 2 * MAX_BUFFERED_BYTES;
 /// The longest body that is buffered.
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
@@ -212,40 +221,53 @@
     Streaming(StreamingBody),
 }
 
-/// Whose body is read.
+/// What memory for a body is reserved for.
 #[derive(Clone, Copy)]
-pub enum BodyKind {
-    /// A request's, which may wait this long for memory. It leaves a quarter of the budget to responses: its own response
-    /// needs memory while it is held.
-    Request(Duration),
-    /// A response's. Without a known length it is buffered for up to this long after its first bytes.
-    Response(Duration),
+pub struct BodyPurpose {
+    /// To hold a short one as a whole.
+    short: Purpose,
+    /// To stream a long one.
+    long: Purpose,
+}
+
+impl BodyPurpose {
+    /// For the body of a request.
+    pub const REQUEST: Self = Self { short: Purpose::RequestBody, long: Purpose::LongRequestBody };
+    /// For the body of a response.
+    pub const RESPONSE: Self = Self { short: Purpose::ResponseBody, long: Purpose::LongResponseBody };
+
+    /// Reserves memory for a body; a long one waits for it until `deadline`. `None` if a short one has to be streamed in
+    /// single pieces, which is within the memory of its request.
+    ///
+    /// # Errors
+    /// [`OutOfMemory`] for a long one.
+    pub async fn reserve(
+        self,
+        body: &LimitedBody,
+        budget: &MemoryBudget,
+        deadline: Instant,
+    ) -> Result<Option<Reservation>, OutOfMemory> {
+        match body.length() {
+            Some(length) if length > MAX_BUFFERED_BYTES => {
+                budget.reserve(STREAMING_BYTES, self.long, deadline).await.map(Some)
+            }
+            length => Ok(budget.try_reserve(length.unwrap_or(UNKNOWN_LENGTH_BYTES), self.short).ok()),
+        }
+    }
 }
 
-/// Reads a body as a whole if it is short and the budget has room for it, else only up to its first bytes. Long
-/// bodies leave half of the budget to short ones.
+/// Reads a body as a whole if it is short and has memory reserved for it, else only up to its first bytes. One of unknown
+/// length is buffered for up to `buffer_time` after its first bytes, if that is limited.
 ///
 /// # Errors
-/// A [`BodyError`] if the body breaks one of its limits or its connection fails, or if a long one finds no room in
-/// the budget.
+/// A [`BodyError`] if the body breaks one of its limits or its connection fails.
 pub async fn receive(
     mut body: LimitedBody,
-    budget: &MemoryBudget,
-    kind: BodyKind,
+    reservation: Option<Reservation>,
+    buffer_time: Option<Duration>,
 ) -> Result<ReceivedBody, BodyError> {
-    let length = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
-    let (spare_divisor, buffer_time, max_wait) = match kind {
-        // All of a long one may be unread in the kernel.
-        BodyKind::Request(max_wait) => (4, FOREVER, MAX_RESERVE_WAIT.min(max_wait)),
-        BodyKind::Response(buffer_time) => (0, buffer_time, MAX_RESERVE_WAIT),
-    };
-    let reservation = match length {
-        Some(length) if length > MAX_BUFFERED_BYTES => {
-            Some(budget.reserve(STREAMING_BYTES, 2, max_wait).await?)
-        }
-        Some(length) => budget.try_reserve(length, spare_divisor),
-        None => budget.try_reserve(STREAMING_BYTES, spare_divisor),
-    };
+    let length = body.length();
+    let buffer_time = buffer_time.unwrap_or(FOREVER);
     let max_buffered = if length.is_some_and(|length| length > MAX_BUFFERED_BYTES) || reservation.is_none() {
         0
     } else {
@@ -287,14 +309,29 @@
     Streaming(StreamingBody),
 }
 
+/// What an open request holds until its response has ended.
+pub struct RequestHold {
+    /// Its place in the metrics.
+    pub metrics: RequestGuard,
+    /// The memory of the request itself, and of single pieces of its bodies.
+    _memory: Reservation,
+}
+
+impl RequestHold {
+    /// What a request holds that has just been taken.
+    pub fn new(metrics: RequestGuard, memory: Reservation) -> Self {
+        Self { metrics, _memory: memory }
+    }
+}
+
 /// A body that is passed on as it arrives.
 pub struct StreamingBody {
     /// The part that was read before.
     first: Option<Bytes>,
     rest: LimitedBody,
     monitor: BodyMonitor,
-    /// The metrics guard of the request that ends with this body.
-    request: Option<RequestGuard>,
+    /// What the request holds that ends with this body.
+    request: Option<Box<RequestHold>>,
     /// Its part of the budget; a short body that found no room is streamed without one.
     reservation: Option<Arc<Reservation>>,
     /// Ends once the last piece was written, if there is no reservation.
@@ -361,16 +398,16 @@
         self.rest.size_hint().exact().map(|rest| first + rest)
     }
 
-    /// Takes the metrics guard of a request, which is counted when this body ends or is dropped: as a success if all of
-    /// the body was passed on, else as an error.
-    pub fn count_request_until_end(&mut self, request: RequestGuard) {
-        self.request = Some(request);
+    /// Takes over what a request holds until this body ends or is dropped. The request is counted then: as a success if all
+    /// of the body was passed on, else as an error.
+    pub fn hold_request_until_end(&mut self, request: RequestHold) {
+        self.request = Some(Box::new(request));
     }
 
     fn finish(&mut self, state: BodyState) {
         self.monitor.finish(state);
         if let Some(mut request) = self.request.take() {
-            request.outcome = if self.monitor.state() == BodyState::Complete {
+            request.metrics.outcome = if self.monitor.state() == BodyState::Complete {
                 RequestOutcome::Success
             } else {
                 RequestOutcome::Error
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -21,11 +21,12 @@
 use tulipmount::{Millis, RequestId};
 
 use super::backlog::{AcceptedConnection, Backlog};
-use super::bodies::{BodyMonitor, BodyState, OutgoingBody, ReceivedBody};
-use super::incoming::{read_request, Rejection};
+use super::bodies::{BodyMonitor, BodyState, OutgoingBody, ReceivedBody, RequestHold};
+use super::head_memory::MAX_HEAD_BYTES;
+use super::incoming::{read_request, ReceivedRequest, Rejection};
 use super::log;
 use super::memory::ConnectionMemory;
-use super::metrics::{RequestGuard, RequestOutcome};
+use super::metrics::RequestOutcome;
 use super::node::Node;
 use super::request::{FinalResponse, ForwardedRequest, RequestBody, ServerResponse, TXN};
 use super::socket::{BodyLength, HyperIo, Phase, TrackedSocket};
@@ -45,13 +46,13 @@
 /// How long a connection is read, and its bytes discarded, after its write side was shut down behind the last
 /// response: unread bytes would cause a reset, which may overtake the response. Ends early when the peer closes.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(2000);
-/// The largest head of a request, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// How long a connection is left alone before it is closed to stop the node or to make room: a new or idle one waits
 /// this long for a request, an arriving request for its next bytes, and a closing one for the peer's close.
 const GRACE_TIME: Duration = Duration::from_millis(200);
 /// How long a client has sent nothing when it counts as silent: longer than it takes to read what has arrived.
 const SILENT_AFTER: Duration = Duration::from_millis(75);
+/// How long after its first bytes a request is refused that finds no memory for its head.
+const REFUSAL_DELAY: Duration = Duration::from_millis(200);
 /// The least time between log lines about the same error.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// The pause before accepting again when descriptors have run out, and between checks for room.
@@ -187,7 +188,7 @@
     /// a connection as new as this. If the call is dropped meanwhile, the connection waits in `waiting`.
     async fn serve_with_room(self: &Rc<Self>, connection: AcceptedConnection, backlog: &Backlog) {
         self.waiting.set(Some(connection));
-        while self.open_connections() >= self.node.max_client_connections() {
+        while !self.node.has_client_room(self.open_connections()) {
             self.record_wait();
             let crowded = backlog.is_overdue() && self.is_mostly_silent();
             if crowded && !self.waiting_has_request() {
@@ -321,12 +322,12 @@
 
     fn serve(self: &Rc<Self>, connection: AcceptedConnection) {
         let (stream, unread_since) = connection.into_parts();
-        let Ok(socket) = TrackedSocket::with_unread_bytes(stream, unread_since) else { return };
+        let memory_budget = &self.node.memory_budget;
+        let Ok(socket) = TrackedSocket::with_budget(stream, memory_budget, unread_since) else { return };
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
         let (close, evicted) = (Notify::new(), Cell::new(false));
-        let client =
-            Rc::new(Client { socket, close, evicted, _memory: self.node.memory_budget.add_connection() });
+        let client = Rc::new(Client { socket, close, evicted, _memory: memory_budget.add_connection() });
         self.open.borrow_mut().insert(number, client.clone());
         let clients = self.clone();
         tokio::task::spawn_local(async move {
@@ -370,6 +371,11 @@
                 socket.reset_on_close();
                 return;
             }
+            if failed && socket.lacks_head_memory() {
+                // A crowd of such clients would come again at once.
+                sleep(REFUSAL_DELAY).await;
+                socket.refuse_unread_head();
+            }
             socket.enter(Phase::Closing);
             let _ = timeout(LINGER_TIMEOUT, socket.linger()).await;
         };
@@ -409,15 +415,16 @@
         empty_response(node.ready_status())
     } else {
         let ambiguous_framing = socket.has_ambiguous_framing();
-        socket.enter(Phase::ReadingBody);
-        match read_request(&node, request, ambiguous_framing).await {
-            Ok((request, remaining)) => {
+        match read_request(&node, &socket, request, ambiguous_framing).await {
+            Ok(received) => {
                 socket.enter(Phase::Serving);
                 let arrival = started.elapsed();
                 if arrival >= SLOW_ARRIVAL {
-                    log::limited(|| format!("{}: request took {arrival:.1?} to arrive", request.txn()));
+                    log::limited(|| {
+                        format!("{}: request took {arrival:.1?} to arrive", received.request.txn())
+                    });
                 }
-                admit_and_serve(&node, &socket, request, remaining).await
+                admit_and_serve(&node, &socket, received).await
             }
             Err(Rejection { status, close }) => {
                 let mut response = empty_response(status);
@@ -477,23 +484,24 @@
 async fn admit_and_serve(
     node: &Rc<Node>,
     socket: &TrackedSocket,
-    request: ForwardedRequest,
-    remaining: Duration,
+    received: ReceivedRequest,
 ) -> Response<OutgoingBody> {
-    let mut guard = node.metrics.begin_request(request.class);
+    let ReceivedRequest { request, remaining, memory } = received;
+    let mut metrics = node.metrics.begin_request(request.class);
     if !node.has_request_capacity() {
-        guard.outcome = RequestOutcome::Overload;
+        metrics.outcome = RequestOutcome::Overload;
         return refusal(0.0);
     }
     let epoch = match node.admit() {
         Ok(epoch) => epoch,
         Err(reason) => {
             log::limited(|| format!("{}: refused, {}", request.txn(), reason.description()));
-            guard.outcome = RequestOutcome::Overload;
+            metrics.outcome = RequestOutcome::Overload;
             return refusal(node.held_retry_after());
         }
     };
-    let mut response = serve_request(node, socket, request, remaining, guard).await;
+    let hold = RequestHold::new(metrics, memory);
+    let mut response = serve_request(node, socket, request, remaining, hold).await;
     if let Some(epoch) = epoch {
         response.headers_mut().insert(POLICY_EPOCH, HeaderValue::from(epoch));
     }
@@ -507,7 +515,7 @@
     socket: &TrackedSocket,
     request: ForwardedRequest,
     remaining: Duration,
-    mut guard: RequestGuard,
+    mut hold: RequestHold,
 ) -> Response<OutgoingBody> {
     let received = socket.last_arrival();
     let (module_margin, node_margin) = margins(remaining);
@@ -527,12 +535,12 @@
                 cancel.answered = true;
                 return early.map_or_else(
                     |_| empty_response(StatusCode::BAD_GATEWAY),
-                    |response| into_http(response, guard),
+                    |response| into_http(response, hold),
                 );
             }
             () = streamed.until_overdue(received, remaining - node_margin) => {
                 // No server has all of it, so none has begun it.
-                guard.outcome = RequestOutcome::Overload;
+                hold.metrics.outcome = RequestOutcome::Overload;
                 return refusal(0.0);
             }
         }
@@ -541,7 +549,7 @@
         return empty_response(StatusCode::GATEWAY_TIMEOUT);
     };
     cancel.answered = true;
-    into_http(response, guard)
+    into_http(response, hold)
 }
 
 /// A request whose body is passed on as it comes.
@@ -578,17 +586,17 @@
 }
 
 /// Converts the final response to HTTP. A streamed one ends the request when its body ends.
-fn into_http(response: FinalResponse, mut guard: RequestGuard) -> Response<OutgoingBody> {
+fn into_http(response: FinalResponse, mut hold: RequestHold) -> Response<OutgoingBody> {
     match response {
         FinalResponse::Served(response) => {
             let ServerResponse { headers, body } = *response;
             let body = match body {
                 ReceivedBody::Buffered(buffered) => {
-                    guard.outcome = RequestOutcome::Success;
+                    hold.metrics.outcome = RequestOutcome::Success;
                     OutgoingBody::buffered(buffered)
                 }
                 ReceivedBody::Streaming(mut streaming) => {
-                    streaming.count_request_until_end(guard);
+                    streaming.hold_request_until_end(hold);
                     OutgoingBody::Streaming(streaming)
                 }
             };
@@ -597,7 +605,7 @@
             response
         }
         FinalResponse::Refused(retry_after) => {
-            guard.outcome = RequestOutcome::Overload;
+            hold.metrics.outcome = RequestOutcome::Overload;
             refusal(retry_after)
         }
         FinalResponse::Failed => empty_response(StatusCode::BAD_GATEWAY),
--- a/src/net/incoming.rs
+++ b/src/net/incoming.rs
@@ -1,17 +1,20 @@
 //! Reads a client's request and checks it against the platform's protocol.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use percent_encoding::percent_decode_str;
 use tulipmount::wire::NodeSettings;
 use tulipmount::Idempotency;
 
-use super::bodies::{receive, BodyError, BodyKind, BodyLimits, LimitedBody};
+use super::bodies::{receive, BodyError, BodyLimits, BodyPurpose, LimitedBody};
+use super::memory::{OutOfMemory, Purpose, Reservation, MAX_RESERVE_WAIT};
 use super::node::Node;
 use super::request::{end_to_end, ForwardedRequest, TransferEncoding, REMAINING_MS, TXN};
+use super::socket::{Phase, TrackedSocket};
 
 /// Longer deadlines are cut to this, in milliseconds.
 const MAX_REMAINING_MS: u64 = 600_000;
@@ -27,6 +30,12 @@
 
 /// The fraction of its time, 1 / n, that a request keeps for its response while it waits for memory.
 const RESPONSE_TIME_DIVISOR: u32 = 16;
+/// The memory of an open request besides its head and held bodies, in bytes: tasks, and pieces of a body that is passed on.
+const REQUEST_BYTES: usize = 24 * 1024;
+/// How often an open request's head is held: as it came, as it is forwarded, and while that is written.
+const HEAD_COPIES: usize = 3;
+/// The memory of one field in all these copies besides its text, in bytes.
+const FIELD_BYTES: usize = 400;
 
 /// The header with the name of the tenant.
 const TENANT: HeaderName = HeaderName::from_static("x-org");
@@ -79,16 +88,27 @@
     value.filter(valid).ok_or(StatusCode::BAD_REQUEST.into())
 }
 
-/// Reads a request whole, up to a long body, which is passed on as it comes. Returns it in the form that is sent to a
-/// server, and the time that it has left.
+/// A request that was read.
+pub struct ReceivedRequest {
+    /// In the form that is sent to a server.
+    pub request: ForwardedRequest,
+    /// The time that it has left.
+    pub remaining: Duration,
+    /// Its memory, to be held until its response has ended.
+    pub memory: Reservation,
+}
+
+/// Reads a request whole, up to a long body, which is passed on as it comes. Waits first until there is memory for it, as
+/// long as its time allows.
 ///
 /// # Errors
-/// A [`Rejection`] if the request is not one that the node serves.
+/// A [`Rejection`] if the request is not one that the node serves, or if there is no memory for it in time.
 pub async fn read_request(
     node: &Node,
+    socket: &TrackedSocket,
     request: Request<Incoming>,
     ambiguous_framing: bool,
-) -> Result<(ForwardedRequest, Duration), Rejection> {
+) -> Result<ReceivedRequest, Rejection> {
     let settings = &node.config.node_settings;
     let (parts, body) = request.into_parts();
     let encoding = TransferEncoding::of(&parts.headers);
@@ -116,9 +136,15 @@
         uri = uri.path_and_query(path.clone());
     }
     let uri = uri.build().map_err(|_| reject_unread(StatusCode::BAD_REQUEST))?;
+    let max_wait = MAX_RESERVE_WAIT.min(remaining - remaining / RESPONSE_TIME_DIVISOR);
+    let reserve_until = Instant::now() + max_wait;
+    socket.enter(Phase::ReadingBody);
+    let memory = node.memory_budget.reserve(request_bytes(&parts), Purpose::Request, reserve_until).await;
+    let memory = memory.map_err(|OutOfMemory| reject_unread(StatusCode::SERVICE_UNAVAILABLE))?;
     let body = LimitedBody::new(body, REQUEST_BODY_LIMITS);
-    let max_wait = remaining - remaining / RESPONSE_TIME_DIVISOR;
-    let body = receive(body, &node.memory_budget, BodyKind::Request(max_wait)).await?.into();
+    let reservation = BodyPurpose::REQUEST.reserve(&body, &node.memory_budget, reserve_until).await;
+    let reservation = reservation.map_err(BodyError::from)?;
+    let body = receive(body, reservation, None).await?.into();
     let mut headers = end_to_end(&parts.headers);
     headers.remove(REMAINING_MS);
     // An estimate that cannot be parsed is ignored.
@@ -128,10 +154,16 @@
     if !headers.contains_key(HOST) {
         headers.insert(HOST, HeaderValue::from_static("service.internal"));
     }
-    Ok((
-        ForwardedRequest { class, tenant, resent, estimated_work, method: parts.method, uri, headers, body },
-        remaining,
-    ))
+    let request =
+        ForwardedRequest { class, tenant, resent, estimated_work, method: parts.method, uri, headers, body };
+    Ok(ReceivedRequest { request, remaining, memory })
+}
+
+/// The memory that a request takes while it is open, besides bodies that are held.
+fn request_bytes(parts: &Parts) -> usize {
+    let path = parts.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let text: usize = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    REQUEST_BYTES + HEAD_COPIES * (path + text) + FIELD_BYTES * parts.headers.len()
 }
 
 /// The index of the class that a path names, literally or percent-encoded. No class has an empty name.
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -1,48 +1,118 @@
-//! The memory that bodies and connections may take together.
+//! The memory that connections, heads, requests and bodies may take together.
 
-use std::sync::atomic::{AtomicIsize, Ordering};
+use std::io;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use tokio::sync::Notify;
-use tokio::time::timeout;
+use thiserror::Error;
+use tokio::sync::{Mutex, Notify};
+use tokio::time::timeout_at;
 
-/// What a connection takes by itself, in bytes: its task, and the buffers of the HTTP library.
-const CONNECTION_BYTES: isize = 32 * 1024;
-/// The longest time that a body waits for memory.
+/// What a connection takes by itself, in bytes: its task, and the buffers with which the HTTP library begins.
+const CONNECTION_BYTES: usize = 16 * 1024;
+/// The parts of the budget, 1 / 8 each, that connections of clients and to servers may take.
+const CLIENT_CONNECTION_PARTS: usize = 5;
+const SERVER_CONNECTION_PARTS: usize = 1;
+const CONNECTION_PARTS: usize = 8;
+/// What the process takes without any connection, in bytes.
+const PROCESS_BYTES: usize = 4 << 20;
+/// The longest time that a request or a body waits for memory.
 pub const MAX_RESERVE_WAIT: Duration = Duration::from_secs(2);
 
+/// What memory is reserved for. It decides how much has to stay free for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// The head of a message that comes in parts.
+    Head,
+    /// The rest of such a head, if it is long.
+    LongHead,
+    /// An open request.
+    Request,
+    /// A request's body that is held as a whole.
+    RequestBody,
+    /// A request's body that is streamed.
+    LongRequestBody,
+    /// A response's body that is held as a whole.
+    ResponseBody,
+    /// A response's body that is streamed.
+    LongResponseBody,
+}
+
+impl Purpose {
+    const COUNT: usize = 7;
+
+    /// How many quarters of the usable memory may be taken, by all purposes together, after a reservation for this one.
+    fn max_quarters(self) -> usize {
+        match self {
+            Self::LongRequestBody | Self::LongResponseBody => 2,
+            // Responses need memory while requests are held.
+            Self::Head | Self::LongHead | Self::Request | Self::RequestBody => 3,
+            Self::ResponseBody => 4,
+        }
+    }
+
+    /// How many quarters of the usable memory heads alone may take then; `None` if this is not a head.
+    fn max_quarters_of_heads(self) -> Option<usize> {
+        match self {
+            Self::LongHead => Some(1),
+            Self::Head => Some(2),
+            _ => None,
+        }
+    }
+}
+
 /// A budget of memory for this process.
 #[derive(Clone)]
 pub struct MemoryBudget(Arc<BudgetState>);
 
 /// Only one thread uses it. Bytes that hold a reservation must be `Send`, and so must this.
 struct BudgetState {
-    total: isize,
+    total: usize,
     /// The part of it that this process may use now.
-    part: AtomicIsize,
-    /// What connections take, which is never refused.
-    connections: AtomicIsize,
-    /// What is reserved for bodies. May exceed what the process may use since its part became smaller.
-    reserved: AtomicIsize,
+    part: AtomicUsize,
+    /// How many connections have memory set aside, and how many there are.
+    expected_connections: AtomicUsize,
+    connections: AtomicUsize,
+    /// What is reserved. May exceed what the process may use since its part became smaller.
+    reserved: AtomicUsize,
+    /// What of that is reserved for heads.
+    reserved_for_heads: AtomicUsize,
     released: Notify,
+    /// Those who wait for memory, in the order in which they came: the first of each purpose waits for `released`.
+    queues: [Mutex<()>; Purpose::COUNT],
 }
 
 /// No memory was released in time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the node's memory is taken")]
 pub struct OutOfMemory;
 
+impl From<OutOfMemory> for io::Error {
+    fn from(error: OutOfMemory) -> Self {
+        Self::new(io::ErrorKind::OutOfMemory, error)
+    }
+}
+
 impl MemoryBudget {
+    /// The budget of a process that may take this many bytes. A third of what is left beside the process itself is for what
+    /// the allocator loses between blocks of many sizes.
+    pub fn within_limit(bytes: usize) -> Self {
+        Self::of(bytes.saturating_sub(PROCESS_BYTES) / 3 * 2)
+    }
+
     /// A budget of this many bytes.
-    pub fn new(bytes: usize) -> Self {
-        let total = isize::try_from(bytes).unwrap_or(isize::MAX);
+    pub fn of(bytes: usize) -> Self {
         Self(Arc::new(BudgetState {
-            total,
-            part: AtomicIsize::new(total),
-            connections: AtomicIsize::new(0),
-            reserved: AtomicIsize::new(0),
+            total: bytes,
+            part: AtomicUsize::new(bytes),
+            expected_connections: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+            reserved: AtomicUsize::new(0),
+            reserved_for_heads: AtomicUsize::new(0),
             released: Notify::new(),
+            queues: Default::default(),
         }))
     }
 
@@ -53,48 +123,98 @@
         self.0.released.notify_waiters();
     }
 
+    /// Sets aside the memory of this many connections, whether they are open or not.
+    pub fn expect_connections(&self, connections: usize) {
+        self.0.expected_connections.store(connections, Ordering::Relaxed);
+        self.0.released.notify_waiters();
+    }
+
+    /// Whether there is memory for one more connection: set aside, or free.
+    pub fn has_connection_room(&self) -> bool {
+        let connections = self.0.connections.load(Ordering::Relaxed) + 1;
+        connections <= self.0.expected_connections.load(Ordering::Relaxed)
+            || self.0.reserved.load(Ordering::Relaxed) <= self.left_by(connections)
+    }
+
+    /// How many connections of clients there may be at the most.
+    pub fn max_client_connections(&self) -> usize {
+        self.connections_within(CLIENT_CONNECTION_PARTS)
+    }
+
+    /// How many connections to servers there may be at the most.
+    pub fn max_server_connections(&self) -> usize {
+        self.connections_within(SERVER_CONNECTION_PARTS)
+    }
+
+    fn connections_within(&self, parts: usize) -> usize {
+        (self.0.part.load(Ordering::Relaxed) / CONNECTION_PARTS * parts / CONNECTION_BYTES).max(1)
+    }
+
     /// Counts a connection until the result is dropped.
     pub fn add_connection(&self) -> ConnectionMemory {
-        self.0.connections.fetch_add(CONNECTION_BYTES, Ordering::Relaxed);
+        self.0.connections.fetch_add(1, Ordering::Relaxed);
         ConnectionMemory(self.clone())
     }
 
-    /// What connections leave for bodies.
-    fn usable(&self) -> isize {
-        (self.0.part.load(Ordering::Relaxed) - self.0.connections.load(Ordering::Relaxed)).max(0)
+    /// What connections leave for all else.
+    fn usable(&self) -> usize {
+        let expected = self.0.expected_connections.load(Ordering::Relaxed);
+        self.left_by(self.0.connections.load(Ordering::Relaxed).max(expected))
+    }
+
+    /// What this many connections leave for all else.
+    fn left_by(&self, connections: usize) -> usize {
+        self.0.part.load(Ordering::Relaxed).saturating_sub(connections * CONNECTION_BYTES)
     }
 
-    /// Reserves memory for a body if at least one part in `spare_divisor` of what bodies may use stays free; 0 asks for
-    /// nothing to stay free.
-    pub fn try_reserve(&self, bytes: usize, spare_divisor: isize) -> Option<Reservation> {
-        let usable = self.usable();
-        let reserved = self.0.reserved.load(Ordering::Relaxed) + bytes as isize;
-        if usable - reserved < usable.checked_div(spare_divisor).unwrap_or(0) {
-            return None;
+    /// What is reserved, and of how much, for the log.
+    pub fn describe(&self) -> String {
+        let reserved = self.0.reserved.load(Ordering::Relaxed);
+        format!("{} of {} KiB reserved", reserved / 1024, self.usable() / 1024)
+    }
+
+    /// Reserves memory if enough stays free for other purposes.
+    ///
+    /// # Errors
+    /// [`OutOfMemory`].
+    pub fn try_reserve(&self, bytes: usize, purpose: Purpose) -> Result<Reservation, OutOfMemory> {
+        let quarter = self.usable() / 4;
+        let reserved = self.0.reserved.load(Ordering::Relaxed) + bytes;
+        if reserved > quarter * purpose.max_quarters() {
+            return Err(OutOfMemory);
+        }
+        if let Some(quarters) = purpose.max_quarters_of_heads() {
+            let reserved_for_heads = self.0.reserved_for_heads.load(Ordering::Relaxed) + bytes;
+            if reserved_for_heads > quarter * quarters {
+                return Err(OutOfMemory);
+            }
+            self.0.reserved_for_heads.store(reserved_for_heads, Ordering::Relaxed);
         }
         self.0.reserved.store(reserved, Ordering::Relaxed);
-        Some(Reservation { budget: self.clone(), bytes })
+        Ok(Reservation { budget: self.clone(), purpose, bytes })
     }
 
-    /// Reserves memory as [`Self::try_reserve`] does, waiting for it for up to `max_wait`.
+    /// Reserves memory as [`Self::try_reserve`] does, waiting for it until `deadline`, in turn with others.
     ///
     /// # Errors
     /// [`OutOfMemory`].
     pub async fn reserve(
         &self,
         bytes: usize,
-        spare_divisor: isize,
-        max_wait: Duration,
+        purpose: Purpose,
+        deadline: Instant,
     ) -> Result<Reservation, OutOfMemory> {
         let reserved = async {
+            let _turn = self.0.queues[purpose as usize].lock().await;
             loop {
-                if let Some(reservation) = self.try_reserve(bytes, spare_divisor) {
-                    return reservation;
+                let released = self.0.released.notified();
+                match self.try_reserve(bytes, purpose) {
+                    Err(OutOfMemory) => released.await,
+                    granted => return granted,
                 }
-                self.0.released.notified().await;
             }
         };
-        timeout(max_wait, reserved).await.map_err(|_| OutOfMemory)
+        timeout_at(deadline.into(), reserved).await.unwrap_or(Err(OutOfMemory))
     }
 }
 
@@ -104,7 +224,7 @@
 impl Drop for ConnectionMemory {
     fn drop(&mut self) {
         let state = &self.0 .0;
-        state.connections.fetch_sub(CONNECTION_BYTES, Ordering::Relaxed);
+        state.connections.fetch_sub(1, Ordering::Relaxed);
         state.released.notify_waiters();
     }
 }
@@ -112,16 +232,31 @@
 /// A reserved part of the budget, released when dropped.
 pub struct Reservation {
     budget: MemoryBudget,
+    purpose: Purpose,
     bytes: usize,
 }
 
 impl Reservation {
+    /// How many bytes are reserved.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Adds another reservation of the same budget and for the same head or body to this one.
+    pub fn absorb(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
     /// Releases all but the given number of bytes.
     pub fn shrink(&mut self, bytes: usize) {
         let excess = self.bytes.saturating_sub(bytes);
         self.bytes -= excess;
-        self.budget.0.reserved.fetch_sub(excess as isize, Ordering::Relaxed);
-        self.budget.0.released.notify_waiters();
+        let state = &self.budget.0;
+        state.reserved.fetch_sub(excess, Ordering::Relaxed);
+        if self.purpose.max_quarters_of_heads().is_some() {
+            state.reserved_for_heads.fetch_sub(excess, Ordering::Relaxed);
+        }
+        state.released.notify_waiters();
     }
 
     /// The same bytes, which keep the reservation until the last copy of them is dropped.
@@ -152,65 +287,120 @@
 mod tests {
     use super::*;
 
+    use Purpose::*;
+
+    fn can_reserve(budget: &MemoryBudget, bytes: usize, purpose: Purpose) -> bool {
+        budget.try_reserve(bytes, purpose).is_ok()
+    }
+
+    fn run<T>(test: impl std::future::Future<Output = T>) -> T {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(test)
+    }
+
     /// Half of the budget can be left to another process, also while more than half is reserved; what long bodies
     /// leave to short ones is then half of the rest.
     #[test]
     fn half_of_the_budget_can_be_left_to_another_process() {
-        let budget = MemoryBudget::new(1000);
-        let first = budget.try_reserve(900, 0).expect("room");
+        let budget = MemoryBudget::of(1000);
+        let first = budget.try_reserve(900, ResponseBody).expect("room");
         budget.set_shared(true);
         budget.set_shared(true);
-        assert!(budget.try_reserve(1, 0).is_none());
+        assert!(!can_reserve(&budget, 1, ResponseBody));
         drop(first);
-        let rest = budget.try_reserve(250, 2).expect("half of its half");
-        assert!(budget.try_reserve(1, 2).is_none() && budget.try_reserve(251, 0).is_none());
+        let rest = budget.try_reserve(250, LongResponseBody).expect("half of its half");
+        assert!(!can_reserve(&budget, 1, LongResponseBody) && !can_reserve(&budget, 251, ResponseBody));
         budget.set_shared(false);
-        assert!(budget.try_reserve(250, 2).is_some() && budget.try_reserve(251, 2).is_none());
+        assert!(can_reserve(&budget, 250, LongResponseBody) && !can_reserve(&budget, 251, LongResponseBody));
         drop(rest);
-        assert!(budget.try_reserve(1000, 0).is_some());
+        assert!(can_reserve(&budget, 1000, ResponseBody));
     }
 
     /// A reservation is granted as soon as there is room, and refused if there is none in time.
     #[test]
     fn a_reservation_waits_for_memory() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        runtime.block_on(async {
-            let budget = MemoryBudget::new(1000);
-            let held = budget.try_reserve(800, 0).expect("room");
-            assert!(matches!(budget.reserve(300, 0, MAX_RESERVE_WAIT).await, Err(OutOfMemory)));
-            let (granted, ()) =
-                tokio::join!(budget.reserve(300, 0, MAX_RESERVE_WAIT), async move { drop(held) });
+        run(async {
+            let budget = MemoryBudget::of(1000);
+            let held = budget.try_reserve(800, ResponseBody).expect("room");
+            let reserve = || budget.reserve(300, ResponseBody, Instant::now() + MAX_RESERVE_WAIT);
+            assert!(matches!(reserve().await, Err(OutOfMemory)));
+            let (granted, ()) = tokio::join!(reserve(), async move { drop(held) });
             assert!(granted.is_ok());
         });
     }
 
-    /// Connections are never refused, and bodies share what they leave.
+    /// Whoever waits for memory gets it in turn.
+    #[test]
+    fn memory_is_granted_in_turn() {
+        run(async {
+            let budget = MemoryBudget::of(1000);
+            let held = budget.try_reserve(1000, ResponseBody).expect("room");
+            let deadline = Instant::now() + Duration::from_secs(60);
+            let mut large = Box::pin(budget.reserve(700, Request, deadline));
+            let mut small = Box::pin(budget.reserve(200, Request, deadline));
+            tokio::select! {
+                biased;
+                _ = &mut large => panic!("nothing is free"),
+                _ = &mut small => panic!("nothing is free"),
+                () = async {} => {}
+            }
+            drop(held);
+            let granted = tokio::select! {
+                biased;
+                _ = &mut small => panic!("it came second"),
+                granted = &mut large => granted,
+            };
+            assert!(granted.is_ok());
+            drop(granted);
+            assert!(small.await.is_ok());
+        });
+    }
+
+    /// The memory of the expected connections is set aside; more are counted as they come, if they find room.
     #[test]
     fn connections_leave_less_for_bodies() {
-        let budget = MemoryBudget::new(3 * CONNECTION_BYTES as usize);
+        let budget = MemoryBudget::of(4 * CONNECTION_BYTES);
+        let rest = 2 * CONNECTION_BYTES;
+        budget.expect_connections(2);
+        assert!(!can_reserve(&budget, rest + 1, ResponseBody));
+        assert!(!can_reserve(&budget, rest / 2 + 1, LongResponseBody));
         let two = [budget.add_connection(), budget.add_connection()];
-        let rest = CONNECTION_BYTES as usize;
-        assert!(budget.try_reserve(rest + 1, 0).is_none() && budget.try_reserve(rest / 2 + 1, 2).is_none());
-        let body = budget.try_reserve(rest, 0).expect("room");
+        let body = budget.try_reserve(rest, ResponseBody).expect("room");
+        assert!(!budget.has_connection_room());
+        drop(body);
+        assert!(budget.has_connection_room());
         let more = [budget.add_connection(), budget.add_connection()];
-        drop((body, two));
-        assert!(budget.try_reserve(rest, 0).is_some());
-        drop(more);
+        assert!(!budget.has_connection_room());
+        assert!(!can_reserve(&budget, 1, ResponseBody));
+        drop((two, more));
+        let body = budget.try_reserve(rest, ResponseBody).expect("room");
+        assert!(budget.has_connection_room());
+        drop(body);
+        assert!(can_reserve(&budget, rest, ResponseBody) && !can_reserve(&budget, rest + 1, ResponseBody));
+    }
+
+    /// Connections to servers and of clients have room for each other, and leave some of the budget to requests.
+    #[test]
+    fn connections_never_take_all_of_the_budget() {
+        let budget = MemoryBudget::of(8 * CONNECTION_BYTES);
+        assert_eq!((budget.max_client_connections(), budget.max_server_connections()), (5, 1));
+        budget.set_shared(true);
+        assert_eq!((budget.max_client_connections(), budget.max_server_connections()), (2, 1));
     }
 
     /// Memory is released with the last copy of the bytes that take it.
     #[test]
     fn bytes_keep_their_reservation_until_the_last_copy_is_dropped() {
-        let budget = MemoryBudget::new(1000);
-        let reservation = Arc::new(budget.try_reserve(1000, 0).expect("room"));
+        let budget = MemoryBudget::of(1000);
+        let reservation = Arc::new(budget.try_reserve(1000, ResponseBody).expect("room"));
         let bytes = reservation.hold(Bytes::from_static(b"body"));
         drop(reservation);
         let mut copy = bytes.clone();
         drop(bytes);
         let end = copy.split_off(2);
         drop(copy);
-        assert!(end == "dy" && budget.try_reserve(1, 0).is_none());
+        assert!(end == "dy" && !can_reserve(&budget, 1, ResponseBody));
         drop(end);
-        assert!(budget.try_reserve(1000, 0).is_some());
+        assert!(can_reserve(&budget, 1000, ResponseBody));
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A file uses only files that come before it in this order:
 //! - `advice`, `log`, `metrics`, `bans`, `config`, `listen`, `epoch_file`, `votes`: one subject each,
-//! - `memory`, `bodies`, `socket`, `request`: what passes through the node, and the sockets that carry it,
+//! - `memory`, `head_memory`, `bodies`, `socket`, `request`: what passes through the node, and the sockets that carry it,
 //! - `pool`: connections to servers,
 //! - `admission`: whether new requests may be taken under the agreed policy,
 //! - `node`: the owner of the decision module, which starts I/O through [`node::NodeIo`],
@@ -23,6 +23,7 @@
 pub mod config;
 pub mod discovery;
 pub mod epoch_file;
+pub mod head_memory;
 pub mod incoming;
 pub mod io_tasks;
 pub mod listen;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -40,6 +40,8 @@
 /// Descriptors that clients and servers may not take, if there are enough: for the standard streams, the runtime,
 /// the listeners, discovery and operators' calls.
 const RESERVED_DESCRIPTORS: usize = 24;
+/// The part of the descriptors, 1 / n, that clients may hold for their requests. Whoever else connects has what is left.
+const CLIENT_DESCRIPTORS_DIVISOR: usize = 3;
 /// Turns of the runtime until data that has arrived is read: by the task of its connection, then by the call on it.
 const READ_TURNS: usize = 3;
 /// The memory of an open request besides its body, in bytes: mostly its heads.
@@ -184,7 +186,7 @@
     pub config: Config,
     /// The connections to servers.
     pub pool: Pool,
-    /// The memory for connections and bodies: two thirds of the limit. The rest is for everything else.
+    /// The memory for connections, requests and bodies.
     pub memory_budget: MemoryBudget,
     /// The metrics.
     pub metrics: Rc<Metrics>,
@@ -243,7 +245,7 @@
             policy_bans: BTreeSet::new(),
             votes: None,
         };
-        let memory_budget = MemoryBudget::new(config.memory_bytes / 3 * 2);
+        let memory_budget = MemoryBudget::within_limit(config.memory_bytes);
         let node = Rc::new(Self {
             pool: Pool::new(&config, memory_budget.clone()),
             memory_budget,
@@ -322,6 +324,9 @@
     /// at the end, and from time to time.
     pub fn share_memory(&self) {
         self.memory_budget.set_shared(self.role() != ProcessRole::Sole);
+        let clients =
+            (self.config.max_sockets / CLIENT_DESCRIPTORS_DIVISOR).min(self.max_client_connections());
+        self.memory_budget.expect_connections(clients + self.max_server_connections());
     }
 
     /// The current role of this process.
@@ -342,26 +347,33 @@
         self.config.max_sockets - RESERVED_DESCRIPTORS.min(self.config.max_sockets / 4)
     }
 
+    /// Whether clients may have one more connection.
+    pub fn has_client_room(&self, open: usize) -> bool {
+        open < self.max_client_connections() && self.memory_budget.has_connection_room()
+    }
+
     /// How many connections clients may have. While an old and a new process of the node overlap, their shares add up
     /// to no more than the whole, here and for connections to servers. The new one's share suffices for all clients,
     /// which together hold a third of all descriptors.
     pub fn max_client_connections(&self) -> usize {
         let max = self.usable_descriptors() * 4 / 7;
-        match self.role() {
+        let max = match self.role() {
             ProcessRole::Sole => max,
             ProcessRole::Successor => max * 3 / 4,
             ProcessRole::Predecessor => max / 4,
-        }
+        };
+        max.min(self.memory_budget.max_client_connections())
     }
 
     /// How many connections to servers there may be.
     pub fn max_server_connections(&self) -> usize {
         let max = self.usable_descriptors() * 3 / 7;
-        match self.role() {
+        let max = match self.role() {
             ProcessRole::Sole => max,
             ProcessRole::Successor => max / 2,
             ProcessRole::Predecessor => max / 4,
-        }
+        };
+        max.min(self.memory_budget.max_server_connections())
     }
 
     /// The HTTP status for readiness checks: 200 if the node can serve, else 503.
@@ -614,8 +626,9 @@
             Err(reason) => format!(", held: {}", reason.description()),
         };
         let (requests, module) = (state.requests.len(), state.balancer.status());
+        let memory = self.memory_budget.describe();
         format!(
-            "{requests} requests, {connections} to servers, list {version} {last_contact}, {module}{policy}"
+            "{requests} requests, {connections} to servers, list {version} {last_contact}, {module}, {memory}{policy}"
         )
     }
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -14,12 +14,11 @@
 
 use super::bodies::OutgoingBody;
 use super::config::Config;
+use super::head_memory::MAX_HEAD_BYTES;
 use super::log;
 use super::memory::{ConnectionMemory, MemoryBudget};
 use super::socket::{HyperIo, TrackedSocket};
 
-/// The largest head of a response.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// The fraction of the servers' keep-alive time after which a connection is not used any more: one that is written
 /// to while its server closes it ends in a reset, which fails requests that must not be repeated.
 const KEEPALIVE_FRACTION: f64 = 0.5;
@@ -174,7 +173,8 @@
             Err(_) => return Err(Outcome::ConnectFailed),
         };
         let connect_failed = Outcome::ConnectFailed;
-        let socket = TrackedSocket::new(stream).map_err(|_| connect_failed)?;
+        let socket =
+            TrackedSocket::with_budget(stream, &self.memory_budget, None).map_err(|_| connect_failed)?;
         let handshake =
             http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(HyperIo(socket.clone())).await;
         let (sender, driver) = handshake.map_err(|_| connect_failed)?;
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -17,9 +17,11 @@
 use tulipmount::{Outcome, RequestId, ServerId};
 
 use super::bodies::{
-    receive, BodyError, BodyKind, BodyLimits, BodyMonitor, BodyState, LimitedBody, OutgoingBody, ReceivedBody,
+    receive, BodyError, BodyLimits, BodyMonitor, BodyPurpose, BodyState, LimitedBody, OutgoingBody,
+    ReceivedBody,
 };
 use super::log;
+use super::memory::{OutOfMemory, MAX_RESERVE_WAIT};
 use super::node::Node;
 use super::pool::ServerConnection;
 use super::request::{
@@ -284,12 +286,21 @@
     NoMemory,
 }
 
+/// Whether reading has failed for want of memory.
+fn is_out_of_memory(error: &(dyn Error + 'static)) -> bool {
+    let error = error.downcast_ref::<io::Error>();
+    error.and_then(|e| e.get_ref()).is_some_and(|inner| inner.is::<OutOfMemory>())
+}
+
 impl From<hyper::Error> for ExchangeError {
     fn from(error: hyper::Error) -> Self {
         log::limited(|| format!("response not read: {error:?}"));
         // hyper reports invalid chunks as an I/O error of its own; the server is still running.
         let invalid =
             |e: &io::Error| matches!(e.kind(), io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData);
+        if error.source().is_some_and(is_out_of_memory) {
+            return Self::NoMemory;
+        }
         if error.is_parse() || error.source().and_then(|e| e.downcast_ref()).is_some_and(invalid) {
             Self::Malformed
         } else {
@@ -331,11 +342,12 @@
             return Err(ExchangeError::Malformed);
         }
         let length = body.size_hint().exact();
-        let body = receive(
-            LimitedBody::new(body, RESPONSE_BODY_LIMITS),
-            &node.memory_budget,
-            BodyKind::Response(buffer_time),
-        );
+        let body = async {
+            let (body, deadline) =
+                (LimitedBody::new(body, RESPONSE_BODY_LIMITS), Instant::now() + MAX_RESERVE_WAIT);
+            let reservation = BodyPurpose::RESPONSE.reserve(&body, &node.memory_budget, deadline).await?;
+            receive(body, reservation, Some(buffer_time)).await
+        };
         // Of any other response only the head matters.
         let body = match parts.status {
             StatusCode::OK => Some(body.await?),
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -15,12 +15,16 @@
 use tokio::net::TcpStream;
 
 use super::bodies::{BodyMonitor, BodyState, OutgoingBody, MAX_BUFFERED_BYTES};
+use super::head_memory::HeadMemory;
+use super::memory::MemoryBudget;
 
 /// The most bytes of one read. It stays below the 8 KiB with which hyper's read buffers begin: a read that fills a buffer
 /// doubles it, and a connection keeps that buffer while it is idle.
 const READ_BYTES: usize = 8 * 1024 - 1;
 /// The size of the kernel's buffers in each direction for a long body.
 const KERNEL_BUFFER_BYTES: usize = 128 * 1024;
+/// The response to a request whose head cannot be read for want of memory.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// More unread bytes of a message than the kernels at both ends of a connection hold together.
 const MAX_UNREAD_BYTES: u64 = 8 << 20;
@@ -52,6 +56,8 @@
 #[derive(Default)]
 struct MessageProgress {
     started: bool,
+    /// How many bytes of the head have passed.
+    head_bytes: usize,
     /// The last five bytes so far.
     tail: [u8; 5],
     /// How many bytes have passed after the head; `None` until the head is complete.
@@ -66,6 +72,7 @@
             let Some((byte, after)) = rest.split_first() else { return };
             self.tail.rotate_left(1);
             self.tail[4] = *byte;
+            self.head_bytes += 1;
             rest = after;
             if self.tail.ends_with(b"\r\n\r\n") {
                 self.body_bytes = Some(0);
@@ -200,6 +207,8 @@
     unread_since: Cell<Option<Instant>>,
     /// The framing headers of the request.
     framing: RefCell<FramingHeaders>,
+    /// The memory of the head that is being received.
+    head_memory: HeadMemory,
 }
 
 impl TrackedSocket {
@@ -208,15 +217,27 @@
     /// # Errors
     /// The system's error if the socket is already broken.
     pub fn new(stream: TcpStream) -> io::Result<Rc<Self>> {
-        Self::with_unread_bytes(stream, None)
+        Self::build(stream, None, None)
     }
 
-    /// Takes over a connected stream like [`Self::new`]. It holds unread bytes that may have arrived as early as
-    /// `unread_since`.
+    /// Takes over a connected stream like [`Self::new`], and counts the heads that it receives towards the budget. If it
+    /// holds unread bytes, they may have arrived as early as `unread_since`.
     ///
     /// # Errors
     /// The system's error if the socket is already broken.
-    pub fn with_unread_bytes(stream: TcpStream, unread_since: Option<Instant>) -> io::Result<Rc<Self>> {
+    pub fn with_budget(
+        stream: TcpStream,
+        budget: &MemoryBudget,
+        unread_since: Option<Instant>,
+    ) -> io::Result<Rc<Self>> {
+        Self::build(stream, Some(budget.clone()), unread_since)
+    }
+
+    fn build(
+        stream: TcpStream,
+        budget: Option<MemoryBudget>,
+        unread_since: Option<Instant>,
+    ) -> io::Result<Rc<Self>> {
         stream.set_nodelay(true)?;
         let now = Instant::now();
         Ok(Rc::new(Self {
@@ -233,6 +254,7 @@
             last_arrival: Cell::new(now),
             unread_since: Cell::new(unread_since),
             framing: RefCell::default(),
+            head_memory: HeadMemory::new(budget),
         }))
     }
 
@@ -247,6 +269,7 @@
         self.unread_since.set(None);
         *self.sent.borrow_mut() = MessageProgress::default();
         *self.received.borrow_mut() = MessageProgress::default();
+        self.head_memory.release();
     }
 
     /// Makes the kernel's buffers small. Otherwise megabytes would wait there for a slow peer, and the free space
@@ -404,6 +427,17 @@
         }
     }
 
+    /// Whether a request's head was not read to its end for want of memory.
+    pub fn lacks_head_memory(&self) -> bool {
+        self.head_memory.is_refused() && self.phase.get() == Phase::ReadingHead
+    }
+
+    /// Responds that a request was refused whose head could not be read. hyper has written nothing on it.
+    pub fn refuse_unread_head(&self) {
+        // It fits into the kernel's buffer, unless the peer has gone.
+        let _ = self.stream.try_write(REFUSAL);
+    }
+
     fn record_read(&self, bytes: &[u8]) {
         self.received.borrow_mut().record(bytes);
         let now = Instant::now();
@@ -417,6 +451,10 @@
             }
         }
         self.framing.borrow_mut().record(bytes);
+        let received = self.received.borrow();
+        if received.body_bytes.is_none() && self.phase.get() == Phase::ReadingHead {
+            self.head_memory.grow(received.head_bytes);
+        }
     }
 
     /// Records that the kernel has accepted the first `written` bytes of these slices.
@@ -451,7 +489,8 @@
     ) -> Poll<io::Result<()>> {
         let socket = &self.0;
         let mut chunk = [0; READ_BYTES];
-        let max_len = buf.remaining().min(READ_BYTES);
+        let readable = ready!(socket.head_memory.poll_readable(cx))?;
+        let max_len = buf.remaining().min(READ_BYTES).min(readable);
         loop {
             ready!(socket.stream.poll_read_ready(cx))?;
             match socket.stream.try_read(&mut chunk[..max_len]) {
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -2,7 +2,8 @@
 
 mod peers;
 
-use std::net::{SocketAddr, TcpListener};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread::{Scope, ScopedJoinHandle};
@@ -48,6 +49,12 @@
 const STOPPED_CLIENTS: usize = 300;
 /// Clients that read nothing of their responses.
 const UNREADING_CLIENTS: usize = 480;
+/// Connections of a crowd that stops in the middle of heads.
+const HALF_HEADS: usize = 600;
+/// How much of its head each of them has sent: nearly as much as the node reads of one.
+const HALF_HEAD_BYTES: usize = 31_000;
+/// The pause between two looks at a crowd's connections.
+const CROWD_INTERVAL: Duration = Duration::from_millis(10);
 /// How often memory is sampled.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -100,6 +107,47 @@
     client
 }
 
+/// Beginnings of requests whose heads never end, on many connections; a new one for each that the node ends.
+struct HalfHeads<'scope> {
+    stopped: Arc<AtomicBool>,
+    task: ScopedJoinHandle<'scope, ()>,
+}
+
+impl<'scope> HalfHeads<'scope> {
+    fn start(scope: &'scope Scope<'scope, '_>, address: SocketAddr) -> Self {
+        let stopped = Arc::<AtomicBool>::default();
+        let stop = stopped.clone();
+        Self { stopped, task: scope.spawn(move || keep_half_heads(address, &stop)) }
+    }
+
+    fn stop(self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        self.task.join().expect("the crowd failed");
+    }
+}
+
+fn keep_half_heads(address: SocketAddr, stopped: &AtomicBool) {
+    let head = format!("GET /look/half HTTP/1.1\r\nHost: x\r\nX-Note: {}", "a".repeat(HALF_HEAD_BYTES));
+    let mut crowd: Vec<(TcpStream, &[u8])> = Vec::new();
+    while !stopped.load(Ordering::SeqCst) {
+        while crowd.len() < HALF_HEADS {
+            let Ok(stream) = TcpStream::connect(address) else { break };
+            stream.set_nonblocking(true).expect("the socket cannot be set up");
+            crowd.push((stream, head.as_bytes()));
+        }
+        crowd.retain_mut(|(stream, rest)| {
+            // The node may answer and close at any moment.
+            if !matches!(stream.read(&mut [0; 64]), Err(error) if error.kind() == ErrorKind::WouldBlock) {
+                return false;
+            }
+            let written = stream.write(rest).unwrap_or(0);
+            *rest = &rest[written..];
+            true
+        });
+        std::thread::sleep(CROWD_INTERVAL);
+    }
+}
+
 /// Clients that send one request after another.
 struct Load<'scope> {
     served: Arc<AtomicUsize>,
@@ -244,6 +292,37 @@
     });
 }
 
+/// Guards against buffers for heads that are not counted: a crowd whose heads never end took the node over its limit.
+#[test]
+fn memory_stays_within_the_limit_beside_a_crowd_that_stops_in_the_middle_of_heads() {
+    let (limits, servers) = (Limits::MANY_DESCRIPTORS, start_servers());
+    let registry = register(&servers);
+    let node = Node::start_ready(&config_with_limits(&registry, limits));
+    std::thread::scope(|scope| {
+        let load = Load::start(scope, node.address, limits.clients());
+        let crowd = HalfHeads::start(scope, node.address);
+        let peak = peak_memory_while(|| node.proportional_memory_kib(), || load.wait_rounds(5));
+        crowd.stop();
+        load.stop();
+        limits.check(peak);
+    });
+}
+
+/// Guards against requests and connections to servers that are not limited by memory: many clients with bodies took the node
+/// over its limit.
+#[test]
+fn memory_stays_within_the_limit_under_load_with_many_descriptors() {
+    let (limits, servers) = (Limits::MANY_DESCRIPTORS, start_servers());
+    let registry = register(&servers);
+    let node = Node::start_ready(&config_with_limits(&registry, limits));
+    std::thread::scope(|scope| {
+        let load = Load::start(scope, node.address, limits.clients());
+        let peak = peak_memory_while(|| node.proportional_memory_kib(), || load.wait_rounds(20));
+        load.stop();
+        limits.check(peak);
+    });
+}
+
 /// Guards against responses that are no longer counted while their clients have not read them, and against connections
 /// that are not counted.
 #[test]
