--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -133,7 +133,8 @@
     pub fn has_connection_room(&self) -> bool {
         let connections = self.0.connections.load(Ordering::Relaxed) + 1;
         connections <= self.0.expected_connections.load(Ordering::Relaxed)
-            || self.0.reserved.load(Ordering::Relaxed) <= self.left_by(connections)
+            || self.0.reserved.load(Ordering::Relaxed) + connections * CONNECTION_BYTES
+                <= self.0.part.load(Ordering::Relaxed)
     }
 
     /// How many connections of clients there may be at the most.
@@ -159,11 +160,7 @@
     /// What connections leave for all else.
     fn usable(&self) -> usize {
         let expected = self.0.expected_connections.load(Ordering::Relaxed);
-        self.left_by(self.0.connections.load(Ordering::Relaxed).max(expected))
-    }
-
-    /// What this many connections leave for all else.
-    fn left_by(&self, connections: usize) -> usize {
+        let connections = self.0.connections.load(Ordering::Relaxed).max(expected);
         self.0.part.load(Ordering::Relaxed).saturating_sub(connections * CONNECTION_BYTES)
     }
 
