Leave half of the memory to a successor all the time

What callers saw: where a process that had served alone for more than 10 s was replaced under load, both together went over the memory limit, and the platform kills the node.

Cause: Node::share_memory took all of the budget while the process believed itself alone, and halved it at SIGTERM. What is held by then is not returned in time.

--- a/src/main.rs
+++ b/src/main.rs
@@ -171,7 +171,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         log::refill_limit();
         log::line(format!("{} clients, {}", clients.open_connections(), node.status()));
-        node.share_memory();
+        node.expect_connections();
         node.pool.sweep();
         clients.sweep();
     }
@@ -198,7 +198,7 @@
         // New connections are the successor's, and so are the descriptors that they need. Clients move over to it
         // with responses that close their connection; closing an idle connection may cross a request on it.
         drop(backlog);
-        node.share_memory();
+        node.expect_connections();
         node.pool.shrink(node.max_server_connections());
         close_idle_at = kill_at - CLOSE_IDLE_BEFORE_KILL;
     } else {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -40,6 +40,9 @@
 /// Descriptors that clients and servers may not take, if there are enough: for the standard streams, the runtime,
 /// the listeners, discovery and operators' calls.
 const RESERVED_DESCRIPTORS: usize = 24;
+/// The processes of a node while one replaces another. A listener that was inherited tells that this may happen at any time,
+/// and memory that was taken once is not returned soon enough: each has its part of the memory all the time.
+const MAX_PROCESSES: usize = 2;
 /// The part of the descriptors, 1 / n, that clients may hold for their requests. Whoever else connects has what is left.
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 3;
 /// Turns of the runtime until data that has arrived is read: by the task of its connection, then by the call on it.
@@ -245,7 +248,8 @@
             policy_bans: BTreeSet::new(),
             votes: None,
         };
-        let memory_budget = MemoryBudget::within_limit(config.memory_bytes);
+        let processes = if config.inherited_fd.is_some() { MAX_PROCESSES } else { 1 };
+        let memory_budget = MemoryBudget::of_process(config.memory_bytes, processes);
         let node = Rc::new(Self {
             pool: Pool::new(&config, memory_budget.clone()),
             memory_budget,
@@ -266,7 +270,7 @@
         node.apply_list(saved_list, true);
         node.set_policy_bans(node.config.node_settings.bans.iter().cloned().collect());
         node.poll_bans();
-        node.share_memory();
+        node.expect_connections();
         node.handle_discovery(endpoints::Event::Tick);
         Ok(node)
     }
@@ -320,10 +324,9 @@
         }
     }
 
-    /// Leaves half of the memory budget to the other process while there may be one. To be called at the start,
-    /// at the end, and from time to time.
-    pub fn share_memory(&self) {
-        self.memory_budget.set_shared(self.role() != ProcessRole::Sole);
+    /// Sets aside memory for the connections that this process may have in its current role. To be called at the start, at
+    /// the end, and from time to time.
+    pub fn expect_connections(&self) {
         let clients =
             (self.config.max_sockets / CLIENT_DESCRIPTORS_DIVISOR).min(self.max_client_connections());
         self.memory_budget.expect_connections(clients + self.max_server_connections());
