Answer requests that wait for memory instead of closing them

Why it works: such a request has a phase of its own that never makes room, and whatever is unread at a connection counts as waiting for the node. At the end of a process all waits for memory end with 503. A client that leaves while its request waits ends it.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -79,7 +79,7 @@
         match self.socket.phase() {
             (Phase::New | Phase::Idle | Phase::Closing, since) => Some(since),
             (Phase::ReadingHead | Phase::ReadingBody, _) => Some(self.socket.last_received()),
-            (Phase::Serving | Phase::Responding, _) => None,
+            (Phase::WaitingForMemory | Phase::Serving | Phase::Responding, _) => None,
         }
     }
 }
@@ -237,11 +237,11 @@
     }
 
     /// Closes connections on which a request's head takes too long, or on which the client does not read its
-    /// response.
+    /// response. A head that is left unread waits for the node.
     pub fn sweep(&self) {
         self.log_closed_unread();
         self.close_where(|socket, phase, since| match phase {
-            Phase::New | Phase::ReadingHead => since.elapsed() >= HEAD_TIMEOUT,
+            Phase::New | Phase::ReadingHead => since.elapsed() >= HEAD_TIMEOUT && socket.is_quiet(),
             Phase::Responding => socket.write_stalled_for() >= UNREAD_RESPONSE_TIMEOUT,
             _ => false,
         });
@@ -265,13 +265,14 @@
         self.close_where(idle);
     }
 
-    /// Closes all connections on which no response is being sent. A connection that has just sent its last response
-    /// is still read for a moment.
+    /// Closes all connections whose clients are waited for, and ends all waits for memory with a refusal. A connection that
+    /// has just sent its last response is still read for a moment.
     pub fn close_unanswered(&self) {
-        self.close_where(|_, phase, since| match phase {
-            Phase::Serving | Phase::Responding => false,
+        self.node.memory_budget.end_waits();
+        self.close_where(|socket, phase, since| match phase {
+            Phase::WaitingForMemory | Phase::Serving | Phase::Responding => false,
             Phase::Closing => since.elapsed() >= GRACE_TIME,
-            _ => true,
+            Phase::New | Phase::Idle | Phase::ReadingHead | Phase::ReadingBody => socket.is_quiet(),
         });
     }
 
@@ -307,9 +308,8 @@
         let mut ranked: BinaryHeap<_> =
             open.iter().filter_map(|(n, c)| Some(Reverse((rank(c)?, *n)))).collect();
         // Checks as few sockets as possible: a system call for each of them at every new connection of a crowd
-        // would take all of the node's time.
-        let idle =
-            |c: &Client| !matches!(c.socket.phase().0, Phase::New | Phase::Idle) || c.socket.is_quiet();
+        // would take all of the node's time. What has arrived and was not read waits for the node.
+        let idle = |c: &Client| c.socket.phase().0 == Phase::Closing || c.socket.is_quiet();
         let candidate =
             std::iter::from_fn(|| ranked.pop()).find_map(|Reverse((_, n))| open.get(&n).filter(|c| idle(c)));
         let Some(client) = candidate else { return false };
@@ -359,7 +359,10 @@
                     }
                     // While unread bytes follow the request, hyper does not look for the end behind them.
                     peer_gone = peer_gone || peer_closed.as_mut().poll(cx).is_ready();
-                    if peer_gone && matches!(socket.phase().0, Phase::Serving | Phase::Responding) {
+                    let phase = socket.phase().0;
+                    if peer_gone
+                        && matches!(phase, Phase::WaitingForMemory | Phase::Serving | Phase::Responding)
+                    {
                         return Poll::Ready(true);
                     }
                     Poll::Pending
--- a/src/net/incoming.rs
+++ b/src/net/incoming.rs
@@ -138,12 +138,13 @@
     let uri = uri.build().map_err(|_| reject_unread(StatusCode::BAD_REQUEST))?;
     let max_wait = MAX_RESERVE_WAIT.min(remaining - remaining / RESPONSE_TIME_DIVISOR);
     let reserve_until = Instant::now() + max_wait;
-    socket.enter(Phase::ReadingBody);
+    socket.enter(Phase::WaitingForMemory);
     let memory = node.memory_budget.reserve(request_bytes(&parts), Purpose::Request, reserve_until).await;
     let memory = memory.map_err(|OutOfMemory| reject_unread(StatusCode::SERVICE_UNAVAILABLE))?;
     let body = LimitedBody::new(body, REQUEST_BODY_LIMITS);
     let reservation = BodyPurpose::REQUEST.reserve(&body, &node.memory_budget, reserve_until).await;
     let reservation = reservation.map_err(BodyError::from)?;
+    socket.enter(Phase::ReadingBody);
     let body = receive(body, reservation, None).await?.into();
     let mut headers = end_to_end(&parts.headers);
     headers.remove(REMAINING_MS);
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -126,6 +126,8 @@
     Idle,
     /// A request's head is being received.
     ReadingHead,
+    /// The head is complete, and the node has no memory for the request yet. Its body is not read meanwhile.
+    WaitingForMemory,
     /// The head is complete and the body is being received.
     ReadingBody,
     /// A request is being served.
@@ -138,10 +140,11 @@
 
 impl Phase {
     /// All phases, in the order of a request.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::New,
         Self::Idle,
         Self::ReadingHead,
+        Self::WaitingForMemory,
         Self::ReadingBody,
         Self::Serving,
         Self::Responding,
@@ -154,6 +157,7 @@
             Self::New => "new",
             Self::Idle => "idle",
             Self::ReadingHead => "reading a head",
+            Self::WaitingForMemory => "waiting for memory",
             Self::ReadingBody => "reading a body",
             Self::Serving => "serving",
             Self::Responding => "responding",
