Look for a client's reset before its next unread request is sent on

What callers saw: a client with many requests on one connection closed it, and the next of them went to an app server 0.4 to 1.0 s later.

Cause: the close waits in the client's kernel behind what the node has not read. The response to the first request is answered by a reset, but the next request was begun in the same turn, before that could be noticed. Ruled out: closes that have arrived (close, reset, half-close, short and long requests: none sent on).

Why it works: where 32 KB or more are unread as a response is written, the next request waits 10 ms for the reset. Clients that send one request at a time leave nothing unread there and wait for nothing.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -441,6 +441,7 @@
     if node.stopping_since.get().is_some() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    socket.note_unread();
     socket.begin_message(if is_head { BodyLength::Known(0) } else { BodyLength::of(response.body()) }, None);
     socket.enter(Phase::Responding);
     response
--- a/src/net/incoming.rs
+++ b/src/net/incoming.rs
@@ -7,6 +7,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use percent_encoding::percent_decode_str;
+use tokio::time::timeout;
 use tulipmount::wire::NodeSettings;
 use tulipmount::Idempotency;
 
@@ -30,6 +31,8 @@
 
 /// The fraction of its time, 1 / n, that a request keeps for its response while it waits for memory.
 const RESPONSE_TIME_DIVISOR: u32 = 16;
+/// How long a reset takes that answers a response to a client that has closed.
+const RESET_TIME: Duration = Duration::from_millis(10);
 /// The memory of an open request besides its head and held bodies, in bytes: tasks, and pieces of a body that is passed on.
 const REQUEST_BYTES: usize = 24 * 1024;
 /// How often an open request's head is held: as it came, as it is forwarded, and while that is written.
@@ -139,6 +142,10 @@
     let max_wait = MAX_RESERVE_WAIT.min(remaining - remaining / RESPONSE_TIME_DIVISOR);
     let reserve_until = Instant::now() + max_wait;
     socket.enter(Phase::WaitingForMemory);
+    if socket.may_hide_close() {
+        // If the client has closed, the response before this request was answered by a reset. That ends this call.
+        let _ = timeout(RESET_TIME, socket.peer_closed()).await;
+    }
     let memory = node.memory_budget.reserve(request_bytes(&parts), Purpose::Request, reserve_until).await;
     let memory = memory.map_err(|OutOfMemory| reject_unread(StatusCode::SERVICE_UNAVAILABLE))?;
     let body = LimitedBody::new(body, REQUEST_BODY_LIMITS);
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -26,6 +26,8 @@
 /// The response to a request whose head cannot be read for want of memory.
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// So many unread bytes may fill the kernel's buffer, and then the peer's close waits behind them at the peer.
+const CLOSE_HIDING_BYTES: usize = 32 * 1024;
 /// More unread bytes of a message than the kernels at both ends of a connection hold together.
 const MAX_UNREAD_BYTES: u64 = 8 << 20;
 
@@ -126,7 +128,7 @@
     Idle,
     /// A request's head is being received.
     ReadingHead,
-    /// The head is complete, and the node has no memory for the request yet. Its body is not read meanwhile.
+    /// The head is complete, and the node is not ready to read the body: mostly as there is no memory for the request yet.
     WaitingForMemory,
     /// The head is complete and the body is being received.
     ReadingBody,
@@ -213,6 +215,7 @@
     framing: RefCell<FramingHeaders>,
     /// The memory of the head that is being received.
     head_memory: HeadMemory,
+    may_hide_close: Cell<bool>,
 }
 
 impl TrackedSocket {
@@ -259,6 +262,7 @@
             unread_since: Cell::new(unread_since),
             framing: RefCell::default(),
             head_memory: HeadMemory::new(budget),
+            may_hide_close: Cell::new(false),
         }))
     }
 
@@ -378,6 +382,19 @@
         is_quiet(&self.stream)
     }
 
+    /// Notes, before a response is written, whether so much is unread behind its request that a close of the peer could not
+    /// be seen.
+    pub fn note_unread(&self) {
+        let mut peeked = [MaybeUninit::uninit(); CLOSE_HIDING_BYTES];
+        let peeked = SockRef::from(&self.stream).peek(&mut peeked);
+        self.may_hide_close.set(peeked.is_ok_and(|length| length == CLOSE_HIDING_BYTES));
+    }
+
+    /// What [`Self::note_unread`] has noted last.
+    pub fn may_hide_close(&self) -> bool {
+        self.may_hide_close.get()
+    }
+
     /// Waits until the peer has closed or reset the connection or ended its sending, also if unread bytes are
     /// buffered before that.
     pub async fn peer_closed(&self) {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -3,7 +3,8 @@
 
 mod peers;
 
-use std::net::{SocketAddr, TcpListener};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +20,15 @@
 /// The node's initial concurrency limit of a server.
 const INITIAL_CONCURRENCY: usize = 8;
 
+/// Requests of a client that sends many at once, and the length of their bodies.
+const PIPELINED: usize = 10_000;
+const PIPELINED_BYTES: usize = 5000;
+/// Clients that were served before it.
+const OTHERS: usize = 4;
+/// How long it waits for room in the kernels' buffers before it leaves, and when its first request is answered.
+const FILL_TIME: Duration = Duration::from_millis(300);
+const SERVED_AFTER: Duration = Duration::from_millis(1500);
+
 /// A configuration in which neither connects nor requests time out.
 fn config_without_timeouts(discovery: SocketAddr) -> Value {
     let mut config = config(discovery);
@@ -248,3 +258,41 @@
         drop(left);
     }
 }
+
+/// A client that has sent far more than the kernels' buffers hold, and closes while its first request is served. Returns
+/// once the node has no connection left.
+fn leave_behind_unread_requests(node: &Node, server: &TestServer) {
+    let requests: String = (0..PIPELINED).map(|n| request_with_body(&format!("p{n}"))).collect();
+    let mut stream = TcpStream::connect(node.address).expect("the connection failed");
+    stream.set_write_timeout(Some(FILL_TIME)).expect("the timeout cannot be set");
+    assert!(stream.write_all(requests.as_bytes()).is_err(), "the kernels' buffers hold all requests");
+    wait_until("the first request is served", || pipelined_requests(server) == 1);
+    drop(stream);
+    wait_until("the node has no client", || node.last_state_line().starts_with("0 clients, 0 requests"));
+}
+
+/// How many of its requests the server has received.
+fn pipelined_requests(server: &TestServer) -> usize {
+    server.requests().iter().filter(|m| m.header("x-txn").is_some_and(|txn| txn.starts_with('p'))).count()
+}
+
+fn request_with_body(txn: &str) -> String {
+    let head = request("slip", txn, DEADLINE_MS);
+    head.replace("Content-Length: 4\r\n\r\nwork", &format!("Content-Length: {PIPELINED_BYTES}\r\n\r\n"))
+        + &"x".repeat(PIPELINED_BYTES)
+}
+
+/// Guards against requests that are sent on for a client whose close cannot be seen behind its unread requests: the first
+/// response is answered by a reset, and the next request must not begin.
+#[test]
+fn no_attempt_begins_behind_the_requests_of_a_client_that_has_left() {
+    let response = http_response(200, "", "served");
+    let server = TestServer::new(move |_| Reply::SendAfter(SERVED_AFTER, response.clone()));
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let node = Node::start_ready(&config_without_timeouts(registry.address));
+    // Connections to the server are there, so that an attempt begins at once.
+    let others: Vec<Client> = (0..OTHERS).map(|n| send_unsafe(&node, &format!("other{n}"))).collect();
+    assert!(others.into_iter().all(|mut client| client.receive().is_some_and(|r| r.status() == 200)));
+    leave_behind_unread_requests(&node, &server);
+    assert_eq!(pipelined_requests(&server), 1, "a request was sent on for a client that had left");
+}
