Pass on a response as long as its server writes

What callers saw: long answers that an app server was still writing slowly (2 to 4 kB a second) were reset after 13 to 19 s.

Ruled out: the client, which read all the time, and the attempt's time, which ends with the first bytes.

Why it works: the limit now is for the time without a byte, 10 s as before. Clients' requests keep their limit in all.

--- a/src/net/bodies.rs
+++ b/src/net/bodies.rs
@@ -22,14 +22,40 @@
 /// How slowly a body may arrive, and how long it may be.
 #[derive(Clone, Copy)]
 pub struct BodyLimits {
-    /// How long its sender may be waited for in total, before `extra_per_kib` is added.
-    pub max_wait: Duration,
-    /// How much longer the sender may be waited for with each KiB received.
-    pub extra_per_kib: Duration,
+    /// How long its sender may be waited for.
+    pub max_wait: MaxWait,
     /// The most bytes.
     pub max_bytes: usize,
 }
 
+/// How long the sender of a body may be waited for.
+#[derive(Clone, Copy)]
+pub enum MaxWait {
+    /// In total.
+    Total {
+        /// Before anything was received.
+        initial: Duration,
+        /// How much longer with each KiB received.
+        extra_per_kib: Duration,
+    },
+    /// For the next bytes, however long it takes until the end.
+    Silence(Duration),
+}
+
+impl MaxWait {
+    /// How long the sender of a body may be waited for now of which this many bytes were received, after this time of
+    /// waiting in total.
+    fn left(self, received: usize, waited: Duration) -> Duration {
+        match self {
+            Self::Total { initial, extra_per_kib } => {
+                let kib = u32::try_from(received / 1024).unwrap_or(u32::MAX);
+                (initial + extra_per_kib * kib).saturating_sub(waited)
+            }
+            Self::Silence(max) => max,
+        }
+    }
+}
+
 /// Why a body ended early.
 #[derive(Debug)]
 pub enum BodyError {
@@ -105,10 +131,9 @@
                     this.timeout.get_or_insert_with(|| Box::pin(sleep_until(Instant::now().into())));
                 if this.waiting_since.is_none() {
                     let now = Instant::now();
-                    let kib = u32::try_from(this.received / 1024).unwrap_or(u32::MAX);
-                    let allowed = this.limits.max_wait + this.limits.extra_per_kib * kib;
                     this.waiting_since = Some(now);
-                    timeout.as_mut().reset((now + allowed.saturating_sub(this.waited)).into());
+                    let left = this.limits.max_wait.left(this.received, this.waited);
+                    timeout.as_mut().reset((now + left).into());
                 }
                 ready!(timeout.as_mut().poll(cx));
                 return Poll::Ready(Some(Err(BodyError::TooSlow)));
--- a/src/net/incoming.rs
+++ b/src/net/incoming.rs
@@ -11,7 +11,7 @@
 use tulipmount::wire::NodeSettings;
 use tulipmount::Idempotency;
 
-use super::bodies::{receive, BodyError, BodyLimits, BodyPurpose, LimitedBody};
+use super::bodies::{receive, BodyError, BodyLimits, BodyPurpose, LimitedBody, MaxWait};
 use super::memory::{OutOfMemory, Purpose, Reservation, MAX_RESERVE_WAIT};
 use super::node::Node;
 use super::request::{end_to_end, ForwardedRequest, TransferEncoding, REMAINING_MS, TXN};
@@ -22,8 +22,10 @@
 /// How slowly a request's body may arrive: at half of the rate that clients are allowed. A client that sends a head
 /// and no more must still be disconnected in time.
 const REQUEST_BODY_LIMITS: BodyLimits = BodyLimits {
-    max_wait: Duration::from_millis(2000),
-    extra_per_kib: Duration::from_millis(32),
+    max_wait: MaxWait::Total {
+        initial: Duration::from_millis(2000),
+        extra_per_kib: Duration::from_millis(32),
+    },
     max_bytes: MAX_BODY_BYTES,
 };
 /// The longest body of a request, in bytes.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -17,7 +17,7 @@
 use tulipmount::{Outcome, RequestId, ServerId};
 
 use super::bodies::{
-    receive, BodyError, BodyLimits, BodyMonitor, BodyPurpose, BodyState, LimitedBody, OutgoingBody,
+    receive, BodyError, BodyLimits, BodyMonitor, BodyPurpose, BodyState, LimitedBody, MaxWait, OutgoingBody,
     ReceivedBody,
 };
 use super::log;
@@ -30,11 +30,8 @@
 use super::socket::{BodyLength, HyperIo, TrackedSocket};
 
 /// How slowly the body of a response may arrive: a server that sends nothing for that long counts as dead.
-const RESPONSE_BODY_LIMITS: BodyLimits = BodyLimits {
-    max_wait: Duration::from_secs(10),
-    extra_per_kib: Duration::from_millis(125),
-    max_bytes: usize::MAX,
-};
+const RESPONSE_BODY_LIMITS: BodyLimits =
+    BodyLimits { max_wait: MaxWait::Silence(Duration::from_secs(10)), max_bytes: usize::MAX };
 /// A response of unknown length is buffered after its first bytes for this fraction of the attempt's time, 1 / n,
 /// in case it is a short one that breaks off.
 const BUFFER_TIME_DIVISOR: u32 = 4;
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -10,6 +10,10 @@
 
 const MS: Duration = Duration::from_millis(1);
 
+/// A response whose server writes it in so many pieces, with a pause before each, takes longer than a server may be silent.
+const SLOW_PIECES: usize = 30;
+const SLOW_PIECE_PAUSE: Duration = Duration::from_millis(450);
+
 /// The head of a keyed request whose body has this framing.
 fn head(txn: &str, remaining: u64, framing: &str) -> String {
     format!(
@@ -439,3 +443,21 @@
     assert_eq!(client.receive().map(|m| m.status()), Some(200));
     assert_eq!(server.requests()[0].body, b"content-length: 5\r\n");
 }
+
+/// Guards against long responses that are cut off while their servers still write: only one that is silent for long counts
+/// as dead.
+#[test]
+fn a_response_that_is_written_slowly_is_passed_on_to_its_end() {
+    let pieces = 0..SLOW_PIECES;
+    let chunks = pieces
+        .map(|_| (SLOW_PIECE_PAUSE, b"64\r\n".iter().copied().chain([b'z'; 100]).chain(*b"\r\n").collect()));
+    let head = (Duration::ZERO, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec());
+    let end = (Duration::ZERO, b"0\r\n\r\n".to_vec());
+    let script: Vec<(Duration, Vec<u8>)> = std::iter::once(head).chain(chunks).chain([end]).collect();
+    let (_server, registry) = single_server(move |_| Reply::SendPieces(script.clone(), false));
+    let node = Node::start_ready(&config_with_admin(&registry));
+    let mut client = Client::connect(&node);
+    client.send(&request("look", "t1", 15_000));
+    let response = client.receive().expect("the response was cut off");
+    assert_eq!((response.status(), response.body.len()), (200, 100 * SLOW_PIECES));
+}
