Tell the next process which requests must not run again

Cause: the ids of requests whose clients had left were known to the process that they had left alone.

Why it works: a process that inherits its listener appends each such id to a file under TMPDIR, and reads what the other one has appended before it takes a request that must not run twice. Without an inherited listener there is no file.

--- a/src/net/bans.rs
+++ b/src/net/bans.rs
@@ -268,7 +268,7 @@
 }
 
 /// A name as part of a file name: hex digits, so it is never a path.
-fn encode_hex(name: &str) -> String {
+pub fn encode_hex(name: &str) -> String {
     name.bytes().map(|b| format!("{b:02x}")).collect()
 }
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -245,13 +245,16 @@
             last_id: 0,
             timer: None,
             servers: HashMap::new(),
-            bans: Bans::new(temp_dir, &config.name, cold_period),
+            bans: Bans::new(temp_dir.clone(), &config.name, cold_period),
             list_watcher: ListWatcher::new(mode, saved_list.as_ref(), 0),
             calls: BTreeMap::new(),
             policy_bans: BTreeSet::new(),
             votes: None,
         };
         let processes = if config.inherited_fd.is_some() { MAX_PROCESSES } else { 1 };
+        let shared_folder = temp_dir.as_deref().filter(|_| config.inherited_fd.is_some());
+        let abandoned_ids =
+            shared_folder.map(|folder| AbandonedIds::shared(folder, &config.name)).unwrap_or_default();
         let memory_budget = MemoryBudget::of_process(config.memory_bytes, processes);
         let node = Rc::new(Self {
             pool: Pool::new(&config, memory_budget.clone()),
@@ -267,7 +270,7 @@
             clock: Clock::new(),
             discovery_answered: Cell::new(false),
             state: RefCell::new(state),
-            abandoned_ids: RefCell::default(),
+            abandoned_ids: RefCell::new(abandoned_ids),
             timer_changed: Notify::new(),
         });
         let saved_list = saved_list.unwrap_or(Update { version: 0, whole: true, hosts: Vec::new() });
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -315,3 +315,26 @@
         assert_eq!((response.status(), runs(txn)), (status, expected_runs), "{class}");
     }
 }
+
+/// The same at the next process of the node, which replaces the one that the client had left.
+#[test]
+fn an_id_that_comes_again_at_the_next_process_does_not_run_twice() {
+    let response = http_response(200, "", "served");
+    let server = TestServer::new(move |_| Reply::SendAfter(SERVED_AFTER, response.clone()));
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
+    let (config, dir) = (config_with_admin(&registry), temp_dir("next-process"));
+    let env = [("TMPDIR", dir.as_str())];
+    let mut old = Node::start_inheriting(&config, &listener, &env);
+    wait_admin_ready(&old);
+    let mut client = Client::connect(&old);
+    client.send(&request("slip", "once", DEADLINE_MS));
+    wait_until("an attempt has begun", || server.requests().len() == 1);
+    disconnect(&old, client, Disconnect::Close, "once");
+    let new = Node::start_inheriting(&config, &listener, &env);
+    wait_admin_ready(&new);
+    old.terminate();
+    assert_eq!(old.wait_exit_code(), Some(0));
+    let response = Client::connect(&new).exchange(&request("slip", "once", DEADLINE_MS));
+    assert_eq!((response.status(), server.requests().len()), (409, 1));
+}
