--- a/src/main.rs
+++ b/src/main.rs
@@ -171,7 +171,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         log::refill_limit();
         log::line(format!("{} clients, {}", clients.open_connections(), node.status()));
-        node.expect_connections();
+        node.capacity.expect_connections();
         node.pool.sweep();
         clients.sweep();
     }
@@ -182,6 +182,7 @@
 async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, backlog: Backlog) {
     let stop_requested = Instant::now();
     node.stopping_since.set(Some(stop_requested));
+    node.capacity.set_stopping();
     let max_deadline =
         Duration::try_from_secs_f64(node.config.node_settings.max_deadline / 1000.0).unwrap_or(MAX_DEADLINE);
     let kill_at = stop_requested + max_deadline.min(MAX_DEADLINE) + KILL_MARGIN;
@@ -198,8 +199,7 @@
         // New connections are the successor's, and so are the descriptors that they need. Clients move over to it
         // with responses that close their connection; closing an idle connection may cross a request on it.
         drop(backlog);
-        node.expect_connections();
-        node.pool.shrink(node.max_server_connections());
+        node.pool.shrink(node.capacity.max_server_connections());
         close_idle_at = kill_at - CLOSE_IDLE_BEFORE_KILL;
     } else {
         let _ = tokio::time::timeout(ACCEPT_AFTER_SIGTERM, clients.accept(&backlog)).await;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -151,7 +151,7 @@
 
     /// Closes connections until no more than the limit are open: idle ones, and those whose request does not progress.
     pub fn shrink(&self) {
-        while self.open_connections() - self.evicted.get() > self.node.max_client_connections()
+        while self.open_connections() - self.evicted.get() > self.node.capacity.max_client_connections()
             && self.evict(EvictionGrace::AT_HANDOVER)
         {}
     }
@@ -188,7 +188,7 @@
     /// a connection as new as this. If the call is dropped meanwhile, the connection waits in `waiting`.
     async fn serve_with_room(self: &Rc<Self>, connection: AcceptedConnection, backlog: &Backlog) {
         self.waiting.set(Some(connection));
-        while !self.node.has_client_room(self.open_connections()) {
+        while !self.node.capacity.has_client_room(self.open_connections()) {
             self.record_wait();
             let crowded = backlog.is_overdue() && self.is_mostly_silent();
             if crowded && !self.waiting_has_request() {
@@ -268,7 +268,7 @@
     /// Closes all connections whose clients are waited for, and ends all waits for memory with a refusal. A connection that
     /// has just sent its last response is still read for a moment.
     pub fn close_unanswered(&self) {
-        self.node.memory_budget.end_waits();
+        self.node.capacity.memory_budget().end_waits();
         self.close_where(|socket, phase, since| match phase {
             Phase::WaitingForMemory | Phase::Serving | Phase::Responding => false,
             Phase::Closing => since.elapsed() >= GRACE_TIME,
@@ -322,7 +322,7 @@
 
     fn serve(self: &Rc<Self>, connection: AcceptedConnection) {
         let (stream, unread_since) = connection.into_parts();
-        let memory_budget = &self.node.memory_budget;
+        let memory_budget = self.node.capacity.memory_budget();
         let Ok(socket) = TrackedSocket::with_budget(stream, memory_budget, unread_since) else { return };
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
--- a/src/net/incoming.rs
+++ b/src/net/incoming.rs
@@ -148,10 +148,11 @@
         // If the client has closed, the response before this request was answered by a reset. That ends this call.
         let _ = timeout(RESET_TIME, socket.peer_closed()).await;
     }
-    let memory = node.memory_budget.reserve(request_bytes(&parts), Purpose::Request, reserve_until).await;
+    let memory =
+        node.capacity.memory_budget().reserve(request_bytes(&parts), Purpose::Request, reserve_until).await;
     let memory = memory.map_err(|OutOfMemory| reject_unread(StatusCode::SERVICE_UNAVAILABLE))?;
     let body = LimitedBody::new(body, REQUEST_BODY_LIMITS);
-    let reservation = BodyPurpose::REQUEST.reserve(&body, &node.memory_budget, reserve_until).await;
+    let reservation = BodyPurpose::REQUEST.reserve(&body, node.capacity.memory_budget(), reserve_until).await;
     let reservation = reservation.map_err(BodyError::from)?;
     socket.enter(Phase::ReadingBody);
     let body = receive(body, reservation, None).await?.into();
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -24,9 +24,9 @@
 use super::abandoned_ids::AbandonedIds;
 use super::admission::{Admission, HoldReason};
 use super::bans::{BanChange, BanError, Bans};
+use super::capacity::Capacity;
 use super::config::Config;
 use super::log;
-use super::memory::MemoryBudget;
 use super::metrics::{Metrics, VotingStatus};
 use super::pool::Pool;
 use super::request::{AttemptTarget, FinalResponse, ForwardedRequest, ServerResponse};
@@ -34,39 +34,13 @@
 
 /// How long the node waits for discovery before it serves by the saved list.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(2500);
-/// How long after its start a process that inherited its listener may have an older one beside it: the older one is
-/// asked to end within 6 s, once this one is ready, and is killed at most 3.7 s later.
-const MAX_OVERLAP: Duration = Duration::from_secs(10);
-
-/// Descriptors that clients and servers may not take, if there are enough: for the standard streams, the runtime,
-/// the listeners, discovery and operators' calls.
-const RESERVED_DESCRIPTORS: usize = 24;
-/// The processes of a node while one replaces another. A listener that was inherited tells that this may happen at any time,
-/// and memory that was taken once is not returned soon enough: each has its part of the memory all the time.
-const MAX_PROCESSES: usize = 2;
-/// The part of the descriptors, 1 / n, that clients may hold for their requests. Whoever else connects has what is left.
-const CLIENT_DESCRIPTORS_DIVISOR: usize = 3;
 /// Turns of the runtime until data that has arrived is read: by the task of its connection, then by the call on it.
 const READ_TURNS: usize = 3;
-/// The memory of an open request besides its body, in bytes: mostly its heads.
-const OPEN_REQUEST_BYTES: usize = 16 * 1024;
 /// The `Retry-After` of requests refused by [`Node::admit`], in milliseconds: one or two heartbeats.
 const HELD_RETRY_AFTER_MS: Millis = 500.0;
 /// How often it is checked whether the node is ready.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// The role of this process. With a shared listener two processes serve as one node for a while, and their parts of
-/// its limits must add up to no more than the whole.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum ProcessRole {
-    /// The only process of the node.
-    Sole,
-    /// Just started, perhaps beside an older process. Clients move over to it.
-    Successor,
-    /// Shutting down, perhaps beside a newer process.
-    Predecessor,
-}
-
 /// Starts the I/O that the node decides on. Each operation runs as a task and reports its result to the node.
 pub trait NodeIo {
     /// Starts one attempt at a request.
@@ -190,8 +164,8 @@
     pub config: Config,
     /// The connections to servers.
     pub pool: Pool,
-    /// The memory for connections, requests and bodies.
-    pub memory_budget: MemoryBudget,
+    /// The part of the node's limits that this process may use.
+    pub capacity: Capacity,
     /// The metrics.
     pub metrics: Rc<Metrics>,
     /// Since when the node has been shutting down; responses then close their connections.
@@ -251,14 +225,13 @@
             policy_bans: BTreeSet::new(),
             votes: None,
         };
-        let processes = if config.inherited_fd.is_some() { MAX_PROCESSES } else { 1 };
+        let capacity = Capacity::new(&config);
         let shared_folder = temp_dir.as_deref().filter(|_| config.inherited_fd.is_some());
         let abandoned_ids =
             shared_folder.map(|folder| AbandonedIds::shared(folder, &config.name)).unwrap_or_default();
-        let memory_budget = MemoryBudget::of_process(config.memory_bytes, processes);
         let node = Rc::new(Self {
-            pool: Pool::new(&config, memory_budget.clone()),
-            memory_budget,
+            pool: Pool::new(&config, capacity.memory_budget().clone()),
+            capacity,
             metrics: Metrics::new(config.node_settings.class_names.len()),
             discovery_addr: Cell::new(config.discovery),
             open_cap: Cell::new(config.node_settings.max_open_requests),
@@ -277,7 +250,6 @@
         node.apply_list(saved_list, true);
         node.set_policy_bans(node.config.node_settings.bans.iter().cloned().collect());
         node.poll_bans();
-        node.expect_connections();
         node.handle_discovery(endpoints::Event::Tick);
         Ok(node)
     }
@@ -331,61 +303,6 @@
         }
     }
 
-    /// Sets aside memory for the connections that this process may have in its current role. To be called at the start, at
-    /// the end, and from time to time.
-    pub fn expect_connections(&self) {
-        let clients =
-            (self.config.max_sockets / CLIENT_DESCRIPTORS_DIVISOR).min(self.max_client_connections());
-        self.memory_budget.expect_connections(clients + self.max_server_connections());
-    }
-
-    /// The current role of this process.
-    fn role(&self) -> ProcessRole {
-        if self.config.inherited_fd.is_none() {
-            ProcessRole::Sole
-        } else if self.stopping_since.get().is_some() {
-            ProcessRole::Predecessor
-        } else if self.clock.start.elapsed() < MAX_OVERLAP {
-            ProcessRole::Successor
-        } else {
-            ProcessRole::Sole
-        }
-    }
-
-    /// How many descriptors clients and servers may take together.
-    fn usable_descriptors(&self) -> usize {
-        self.config.max_sockets - RESERVED_DESCRIPTORS.min(self.config.max_sockets / 4)
-    }
-
-    /// Whether clients may have one more connection.
-    pub fn has_client_room(&self, open: usize) -> bool {
-        open < self.max_client_connections() && self.memory_budget.has_connection_room()
-    }
-
-    /// How many connections clients may have. While an old and a new process of the node overlap, their shares add up
-    /// to no more than the whole, here and for connections to servers. The new one's share suffices for all clients,
-    /// which together hold a third of all descriptors.
-    pub fn max_client_connections(&self) -> usize {
-        let max = self.usable_descriptors() * 4 / 7;
-        let max = match self.role() {
-            ProcessRole::Sole => max,
-            ProcessRole::Successor => max * 3 / 4,
-            ProcessRole::Predecessor => max / 4,
-        };
-        max.min(self.memory_budget.max_client_connections())
-    }
-
-    /// How many connections to servers there may be.
-    pub fn max_server_connections(&self) -> usize {
-        let max = self.usable_descriptors() * 3 / 7;
-        let max = match self.role() {
-            ProcessRole::Sole => max,
-            ProcessRole::Successor => max / 2,
-            ProcessRole::Predecessor => max / 4,
-        };
-        max.min(self.memory_budget.max_server_connections())
-    }
-
     /// The HTTP status for readiness checks: 200 if the node can serve, else 503.
     pub fn ready_status(&self) -> StatusCode {
         if self.ready() {
@@ -413,10 +330,7 @@
     /// How many open requests a policy may allow at this process: each takes a connection, and memory that bodies
     /// leave. What its own settings allow is always within it.
     pub fn open_request_capacity(&self) -> usize {
-        let connections = self.usable_descriptors() * 4 / 7;
-        connections
-            .min(self.config.memory_bytes / 3 / OPEN_REQUEST_BYTES)
-            .max(self.config.node_settings.max_open_requests)
+        self.capacity.max_open_requests().max(self.config.node_settings.max_open_requests)
     }
 
     /// Applies a policy. Requests that were taken before keep to the policy under which they were taken.
@@ -645,7 +559,7 @@
             Err(reason) => format!(", held: {}", reason.description()),
         };
         let (requests, module) = (state.requests.len(), state.balancer.status());
-        let memory = self.memory_budget.describe();
+        let memory = self.capacity.memory_budget().describe();
         format!(
             "{requests} requests, {connections} to servers, list {version} {last_contact}, {module}, {memory}{policy}"
         )
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -125,7 +125,7 @@
         let connection = match pooled.take() {
             Some(connection) => Ok(connection),
             None => {
-                let connecting = node.pool.connect(addr, node.max_server_connections());
+                let connecting = node.pool.connect(addr, node.capacity.max_server_connections());
                 timeout_at(deadline.into(), connecting).await.unwrap_or(Err(Outcome::NotSent))
             }
         };
@@ -342,7 +342,8 @@
         let body = async {
             let (body, deadline) =
                 (LimitedBody::new(body, RESPONSE_BODY_LIMITS), Instant::now() + MAX_RESERVE_WAIT);
-            let reservation = BodyPurpose::RESPONSE.reserve(&body, &node.memory_budget, deadline).await?;
+            let reservation =
+                BodyPurpose::RESPONSE.reserve(&body, node.capacity.memory_budget(), deadline).await?;
             receive(body, reservation, Some(buffer_time)).await
         };
         // Of any other response only the head matters.
