--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -435,7 +435,7 @@
     config["settings"]["Classes"][0]["Slo"] = json!(100_000.0);
     config["settings"]["Ejection"] = json!({"AtMost": 1.0});
     let node = Node::start_ready(&config);
-    let mut clients: Vec<Client> = (0..100)
+    let mut clients: Vec<Client> = (0..200)
         .map(|n| {
             let mut client = Client::connect(&node);
             client.send(&request("look", &format!("t{n}"), 100_000));
@@ -446,7 +446,7 @@
     let failed = statuses.iter().filter(|s| s.ends_with(b"502")).count();
     assert!(failed >= 10, "{failed}");
     let sent: usize = servers.iter().map(|s| s.requests().len()).sum();
-    assert_eq!((sent, metric(&node, "targets_disabled")), (100, 0));
+    assert_eq!((sent, metric(&node, "targets_disabled")), (200, 0));
 }
 
 /// The time of a pipelined request counts from its arrival: `X-Remaining-Ms` at its server is what is left after the
