Take what a request waits for memory off its time

What callers saw: nothing yet; found by reading this change again. A request whose short body had come before its wait for memory was dated after the wait, so that a server was told 14,963 ms where 14,000 were left, and the answer could come as late.

Cause: read_request reads the body after the wait, and the time of a request counts from when its last byte was read.

Why it works: what is unread when the wait ends counts from the wait's beginning, as for connections that wait to be accepted.

--- a/src/net/incoming.rs
+++ b/src/net/incoming.rs
@@ -142,7 +142,8 @@
     }
     let uri = uri.build().map_err(|_| reject_unread(StatusCode::BAD_REQUEST))?;
     let max_wait = MAX_RESERVE_WAIT.min(remaining - remaining / RESPONSE_TIME_DIVISOR);
-    let reserve_until = Instant::now() + max_wait;
+    let waiting_since = Instant::now();
+    let reserve_until = waiting_since + max_wait;
     socket.enter(Phase::WaitingForMemory);
     if socket.may_hide_close() {
         // If the client has closed, the response before this request was answered by a reset. That ends this call.
@@ -154,6 +155,7 @@
     let body = LimitedBody::new(body, REQUEST_BODY_LIMITS);
     let reservation = BodyPurpose::REQUEST.reserve(&body, node.capacity.memory_budget(), reserve_until).await;
     let reservation = reservation.map_err(BodyError::from)?;
+    socket.set_unread_since(waiting_since);
     socket.enter(Phase::ReadingBody);
     let body = receive(body, reservation, None).await?.into();
     let mut headers = end_to_end(&parts.headers);
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -390,6 +390,13 @@
         self.may_hide_close.set(peeked.is_ok_and(|length| length == CLOSE_HIDING_BYTES));
     }
 
+    /// Notes that bytes that are unread now may have arrived as early as `since`, as the node did not read meanwhile.
+    pub fn set_unread_since(&self, since: Instant) {
+        if self.unread_since.get().is_none() && !self.is_quiet() {
+            self.unread_since.set(Some(since));
+        }
+    }
+
     /// What [`Self::note_unread`] has noted last.
     pub fn may_hide_close(&self) -> bool {
         self.may_hide_close.get()
--- a/tests/memory_waits.rs
+++ b/tests/memory_waits.rs
@@ -3,6 +3,8 @@
 mod peers;
 
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use peers::*;
@@ -24,6 +26,14 @@
 /// The time that a client gives a request in a crowd, and at the end of a process.
 const CROWD_DEADLINE_MS: u64 = 1500;
 const LONG_DEADLINE_MS: u64 = 15_000;
+/// Uploads that are held as a whole, more than there is memory for.
+const SHORT_UPLOADS: usize = 100;
+const SHORT_BYTES: usize = 60_000;
+/// Servers that have room for all of them.
+const SERVERS: usize = 14;
+/// How long the last of them wait, and the slack on the time that a server is told.
+const BUSY_TIME: Duration = Duration::from_millis(1000);
+const REMAINING_SLACK: Duration = Duration::from_millis(150 + 50);
 /// How long after the signal to end a request comes that still waits when the process has to end.
 const BEFORE_END: Duration = Duration::from_millis(2600);
 
@@ -98,7 +108,41 @@
     drop((holders, crowd, newcomers));
 }
 
-/// Guards against the same at the end of a process, which closed all requests that it had not read whole.
+/// Guards against servers that are told more time than the client has: what a request waits for memory uses up its time, as
+/// its body may have arrived before.
+#[test]
+fn time_spent_waiting_for_memory_is_taken_off_the_time_told_to_servers() {
+    let released = Arc::new(AtomicBool::new(false));
+    let servers = [(); SERVERS].map(|()| {
+        let released = released.clone();
+        TestServer::new(move |_| {
+            wait_until("the server is released", || released.load(Ordering::SeqCst));
+            Reply::Send(http_response(200, "", "served"))
+        })
+    });
+    let hosts = servers.iter().enumerate().map(|(n, s)| host(&format!("s{n}"), s.address, "active", 1));
+    let registry = Registry::new(&hosts.collect::<Vec<_>>());
+    let mut config = small_config(&registry);
+    config["settings"]["Classes"][1]["Slo"] = json!(100_000.0);
+    let node = Node::start_ready(&config);
+    let mut clients: Vec<Client> = (0..SHORT_UPLOADS).map(|_| Client::connect(&node)).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send_bytes(&upload(&format!("u{number}"), LONG_DEADLINE_MS, SHORT_BYTES, SHORT_BYTES));
+    }
+    let sent_at = Instant::now();
+    wait_until("the last ones have waited", || sent_at.elapsed() >= BUSY_TIME);
+    released.store(true, Ordering::SeqCst);
+    for client in &mut clients {
+        assert_eq!(client.receive().map(|response| response.status()), Some(200));
+    }
+    let last = format!("u{}", SHORT_UPLOADS - 1);
+    let received = servers.iter().flat_map(TestServer::requests).find(|m| m.header("x-txn") == Some(&last));
+    let told: Option<u64> = received.and_then(|m| m.header("x-remaining-ms")?.parse().ok());
+    let left = Duration::from_millis(LONG_DEADLINE_MS) - BUSY_TIME + REMAINING_SLACK;
+    assert!(told.is_some_and(|told| Duration::from_millis(told) <= left), "{told:?} ms, of {left:?}");
+}
+
+/// Guards against requests that are closed without an answer at the end of a process, which closed all requests that it had not read whole.
 #[test]
 fn a_request_that_waits_for_memory_at_the_end_of_a_process_is_answered() {
     let registry = Registry::new(&[host("s0", TestServer::ok("s0").address, "active", 1)]);
