--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -14,6 +14,16 @@
 const SLOW_PIECES: usize = 30;
 const SLOW_PIECE_PAUSE: Duration = Duration::from_millis(450);
 
+/// The worth of a response ends after this time, and with it the time of an attempt.
+const WORTH_TIME: Duration = Duration::from_millis(300);
+/// What a client gives a request whose response comes late.
+const LATE_DEADLINE_MS: u64 = 1000;
+/// A body whose first bytes come after the attempt's time, and one whose first bytes come shortly before its end.
+const LATE_BODY: Duration = Duration::from_millis(450);
+const NEARLY_LATE_BODY: Duration = Duration::from_millis(250);
+/// The pause after the first bytes of a body.
+const LATE_REST: Duration = Duration::from_millis(300);
+
 /// The head of a keyed request whose body has this framing.
 fn head(txn: &str, remaining: u64, framing: &str) -> String {
     format!(
@@ -461,3 +471,46 @@
     let response = client.receive().expect("the response was cut off");
     assert_eq!((response.status(), response.body.len()), (200, 100 * SLOW_PIECES));
 }
+
+/// Guards against long responses that are cut off at the end of an attempt's time, although their servers have begun them:
+/// the head has come, and the body is late, or its length is unknown and its first bytes have just come.
+#[test]
+fn a_long_response_whose_body_comes_late_is_not_cut_off() {
+    let body = body_of(150_000);
+    let sent = body.clone();
+    let (server, registry) = single_server(move |m| {
+        let txn = m.header("x-txn").unwrap_or_default();
+        let pause = if txn.contains("nearly") { NEARLY_LATE_BODY } else { LATE_BODY };
+        let (whole, close) = match txn.split('-').next() {
+            Some("length") => (response_with_length(&sent), false),
+            Some("chunks") => (chunked(OK_CHUNKED, &sent, true), false),
+            _ => ([OK_UNTIL_CLOSE.as_bytes(), &sent].concat(), true),
+        };
+        let head_length = whole.windows(4).position(|end| end == b"\r\n\r\n").expect("no head") + 4;
+        let (head, rest) = whole.split_at(head_length);
+        let (first, rest) = rest.split_at(20_000);
+        let pieces = [(Duration::ZERO, head), (pause, first), (LATE_REST, rest)];
+        Reply::SendPieces(pieces.map(|(pause, piece)| (pause, piece.to_vec())).to_vec(), close)
+    });
+    let mut config = config(registry.address);
+    for class in config["settings"]["Classes"].as_array_mut().expect("the settings have no classes") {
+        class["Slo"] = json!(WORTH_TIME.as_millis() as f64);
+        class["LateValue"] = json!(0.0);
+    }
+    let node = Node::start_ready(&config);
+    let cases = ["length-late", "chunks-late", "end-late", "length-nearly", "chunks-nearly", "end-nearly"];
+    std::thread::scope(|scope| {
+        for class in ["look", "pay"] {
+            let (node, body) = (&node, &body);
+            scope.spawn(move || {
+                for txn in cases.map(|case| format!("{case}-{class}")) {
+                    let mut client = Client::connect(node);
+                    client.send(&request(class, &txn, LATE_DEADLINE_MS));
+                    let response = client.receive().unwrap_or_else(|| panic!("{txn}: cut off"));
+                    assert_eq!((response.status(), response.body == *body), (200, true), "{txn}");
+                }
+            });
+        }
+    });
+    assert_eq!(server.requests().len(), 2 * cases.len(), "none was sent twice");
+}
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -55,6 +55,10 @@
 const HALF_HEAD_BYTES: usize = 31_000;
 /// The pause between two looks at a crowd's connections.
 const CROWD_INTERVAL: Duration = Duration::from_millis(10);
+/// Clients that send heads of many fields, each on a new connection: more than there are descriptors for.
+const FIELD_CLIENTS: usize = 600;
+/// How many fields of a few bytes each of their heads has: nearly as many as the node takes.
+const FIELDS: usize = 90;
 /// The age at which a process takes itself to be the node's only one, and slack.
 const SOLE_AGE: Duration = Duration::from_secs(11);
 /// How often memory is sampled.
@@ -157,8 +161,21 @@
     clients: Vec<ScopedJoinHandle<'scope, ()>>,
 }
 
+/// Sends the requests of one client until the flag is set, and counts its responses.
+type SendRequests = fn(SocketAddr, usize, &AtomicUsize, &AtomicBool);
+
 impl<'scope> Load<'scope> {
+    /// Clients that send bodies.
     fn start(scope: &'scope Scope<'scope, '_>, address: SocketAddr, clients: usize) -> Self {
+        Self::start_with(scope, address, clients, send_requests)
+    }
+
+    fn start_with(
+        scope: &'scope Scope<'scope, '_>,
+        address: SocketAddr,
+        clients: usize,
+        send_requests: SendRequests,
+    ) -> Self {
         let (served, stopped) = (Arc::<AtomicUsize>::default(), Arc::<AtomicBool>::default());
         let clients = (0..clients).map(|number| {
             let (served, stopped) = (served.clone(), stopped.clone());
@@ -174,9 +191,16 @@
         wait_until("the clients are served", || self.served.load(Ordering::SeqCst) >= goal);
     }
 
-    fn stop(self) {
+    fn stop(mut self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        self.clients.drain(..).for_each(|client| client.join().expect("a client failed"));
+    }
+}
+
+/// Ends the clients also if the test has failed.
+impl Drop for Load<'_> {
+    fn drop(&mut self) {
         self.stopped.store(true, Ordering::SeqCst);
-        self.clients.into_iter().for_each(|client| client.join().expect("a client failed"));
     }
 }
 
@@ -201,6 +225,22 @@
     }
 }
 
+/// Sends heads of many short fields, each whole and on a new connection.
+fn send_fields(address: SocketAddr, number: usize, answered: &AtomicUsize, stopped: &AtomicBool) {
+    let fields: String = (0..FIELDS).map(|field| format!("a{field}: b\r\n")).collect();
+    for attempt in 0.. {
+        if stopped.load(Ordering::SeqCst) {
+            return;
+        }
+        let mut client = Client::connect_to(address);
+        let head = request("look", &format!("f{number}-{attempt}"), DEADLINE_MS);
+        let head = head.replacen("Host:", &format!("{fields}Host:"), 1);
+        let response = client.try_send(head.as_bytes()).ok().and_then(|()| client.receive());
+        answered.fetch_add(usize::from(response.is_some()), Ordering::SeqCst);
+        std::thread::sleep(PAUSE);
+    }
+}
+
 /// The most that `memory_kib` told while `run` went on.
 fn peak_memory_while(memory_kib: impl Fn() -> usize + Sync, run: impl FnOnce()) -> usize {
     let done = AtomicBool::new(false);
@@ -334,6 +374,21 @@
     });
 }
 
+/// Guards against parsed heads of very many short fields that are not counted while their requests wait for memory: a crowd
+/// of them took the node over its limit.
+#[test]
+fn memory_stays_within_the_limit_with_heads_of_many_short_fields() {
+    let (limits, servers) = (Limits::MANY_DESCRIPTORS, start_servers());
+    let registry = register(&servers);
+    let node = Node::start_ready(&config_with_limits(&registry, limits));
+    std::thread::scope(|scope| {
+        let load = Load::start_with(scope, node.address, FIELD_CLIENTS, send_fields);
+        let peak = peak_memory_while(|| node.proportional_memory_kib(), || load.wait_rounds(5));
+        load.stop();
+        limits.check(peak);
+    });
+}
+
 /// Guards against responses that are no longer counted while their clients have not read them, and against connections
 /// that are not counted.
 #[test]
