Pass on a long response whose head has come in time, however late its body is

Cutting off what the app server still gives loses the request.

Cause: the time of an attempt ended with the first bytes of the body, not with the head (exchange in src/net/servers.rs). A body of which nothing had come by then was given up with its connection. Nearly the same held without a length: its first bytes were buffered for a quarter of the attempt's time, and if that ended after the attempt's, it was given up too.

Now the time of an attempt covers the head, and the end of a short body. What may be long is streamed at the end of that time at the latest, with or without its first bytes; until then it is held, so that a connection that breaks before them can still be followed by another attempt.

--- a/src/net/bodies.rs
+++ b/src/net/bodies.rs
@@ -109,6 +109,11 @@
 }
 
 impl LimitedBody {
+    /// Whether it may be too long to be held as a whole.
+    pub fn may_be_long(&self) -> bool {
+        self.length().is_none_or(|length| length > MAX_BUFFERED_BYTES)
+    }
+
     /// Its length, if it is known.
     fn length(&self) -> Option<usize> {
         self.size_hint().exact().map(|length| usize::try_from(length).unwrap_or(usize::MAX))
@@ -282,7 +287,8 @@
 }
 
 /// Reads a body as a whole if it is short and has memory reserved for it, else only up to its first bytes. One of unknown
-/// length is buffered for up to `buffer_time` after its first bytes, if that is limited.
+/// length is buffered for up to `buffer_time` after its first bytes, if that is limited. The rest is streamed in any case
+/// once `until` is over, also if nothing has come yet.
 ///
 /// # Errors
 /// A [`BodyError`] if the body breaks one of its limits or its connection fails.
@@ -290,9 +296,11 @@
     mut body: LimitedBody,
     reservation: Option<Reservation>,
     buffer_time: Option<Duration>,
+    until: impl Future<Output = ()>,
 ) -> Result<ReceivedBody, BodyError> {
     let length = body.length();
     let buffer_time = buffer_time.unwrap_or(FOREVER);
+    let mut until = pin!(until);
     let max_buffered = if length.is_some_and(|length| length > MAX_BUFFERED_BYTES) || reservation.is_none() {
         0
     } else {
@@ -306,6 +314,7 @@
             biased;
             frame = body.frame() => frame,
             () = &mut buffer_timeout => break,
+            () = &mut until => break,
         };
         let Some(frame) = frame else {
             let Some(mut reservation) = reservation else {
@@ -412,6 +421,11 @@
         Bytes::from_owner(PieceInHand { bytes: piece, _written: written })
     }
 
+    /// Whether some of it has been received.
+    pub fn has_begun(&self) -> bool {
+        self.rest.received > 0
+    }
+
     /// The monitor of its state.
     pub fn monitor(&self) -> BodyMonitor {
         self.monitor.clone()
--- a/src/net/incoming.rs
+++ b/src/net/incoming.rs
@@ -1,5 +1,6 @@
 //! Reads a client's request and checks it against the platform's protocol.
 
+use std::future::pending;
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
@@ -157,7 +158,7 @@
     let reservation = reservation.map_err(BodyError::from)?;
     socket.set_unread_since(waiting_since);
     socket.enter(Phase::ReadingBody);
-    let body = receive(body, reservation, None).await?.into();
+    let body = receive(body, reservation, None, pending()).await?.into();
     let mut headers = end_to_end(&parts.headers);
     headers.remove(REMAINING_MS);
     // An estimate that cannot be parsed is ignored.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,15 +1,15 @@
 //! The server side: attempts and probes, and the outcome of each.
 
 use std::error::Error;
-use std::future::Future;
+use std::future::{pending, Future};
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::Connection;
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH};
 use hyper::{HeaderMap, Request, StatusCode};
@@ -149,36 +149,32 @@
                 Some(monitor) => until_time_is_over(monitor, &socket, time).await,
             }
         };
-        let result = tokio::select! {
-            biased;
-            response = send_request(
-                node,
-                &mut connection,
-                || build_request(request, body, deadline),
-                time / BUFFER_TIME_DIVISOR,
-            ) => Some(response),
-            () = timed_out => None,
-        };
+        let result = send_request(
+            node,
+            &mut connection,
+            || build_request(request, body, deadline),
+            time / BUFFER_TIME_DIVISOR,
+            timed_out,
+        )
+        .await;
         let (any_sent, all_sent) = (socket.any_sent(), socket.all_sent());
         return match result {
+            Ok(response) => response.into_outcome(node, server, addr, connection),
+            Err(ExchangeError::TimedOut) if all_sent => ended_with(Outcome::TimedOut),
+            Err(ExchangeError::TimedOut) => ended_with(Outcome::NotSent),
             // A pooled connection was closed before anything was written to it, so the attempt can start again.
-            Some(Err(_)) if reused && !any_sent => continue,
-            Some(Ok(response)) => response.into_outcome(node, server, addr, connection),
+            Err(_) if reused && !any_sent => continue,
             // The client's request broke off; the server is not at fault.
-            Some(Err(_)) if monitor.is_some_and(|m| m.state() == BodyState::Failed) => {
-                ended_with(Outcome::NotSent)
-            }
-            Some(Err(ExchangeError::Connection)) if all_sent => {
+            Err(_) if monitor.is_some_and(|m| m.state() == BodyState::Failed) => ended_with(Outcome::NotSent),
+            Err(ExchangeError::Connection) if all_sent => {
                 let kind = if reused { "reused" } else { "new" };
                 log::limited(|| format!("{kind} connection to {addr} broke after {idle:.1?} idle"));
                 ended_with(Outcome::Reset)
             }
-            Some(Err(ExchangeError::Malformed)) if all_sent => ended_with(Outcome::Error),
+            Err(ExchangeError::Malformed) if all_sent => ended_with(Outcome::Error),
             // The request may have been executed, and the server is not at fault.
-            Some(Err(ExchangeError::NoMemory)) if all_sent => ended_with(Outcome::Cancelled),
-            Some(Err(_)) => ended_with(Outcome::ConnectFailed),
-            None if all_sent => ended_with(Outcome::TimedOut),
-            None => ended_with(Outcome::NotSent),
+            Err(ExchangeError::NoMemory) if all_sent => ended_with(Outcome::Cancelled),
+            Err(_) => ended_with(Outcome::ConnectFailed),
         };
     }
 }
@@ -248,6 +244,9 @@
         let turned_away = headers.get(TURNED_AWAY).is_some_and(|v| v == "1");
         let rest = match &body {
             Some(ReceivedBody::Streaming(streaming)) => {
+                if !streaming.has_begun() {
+                    log::limited(|| format!("response from {addr} is passed on before its body has begun"));
+                }
                 connection.socket.shrink_kernel_buffers();
                 Some(StreamingResponse { connection, addr, monitor: streaming.monitor(), length, reusable })
             }
@@ -281,6 +280,8 @@
     Malformed,
     /// The memory budget had no room to stream it.
     NoMemory,
+    /// The attempt's time was over before the response, or the end of a short one.
+    TimedOut,
 }
 
 /// Whether reading has failed for want of memory.
@@ -316,22 +317,27 @@
     }
 }
 
-/// Writes a request and reads the response, completely or up to its first bytes. Sends one request only, and
-/// nothing twice.
+/// Writes a request and reads the response: a short one completely, before `timed_out` is over, and one that may be long up
+/// to its first bytes, or up to its head if they have not come by then. Sends one request only, and nothing twice.
 async fn send_request(
     node: &Node,
     connection: &mut ServerConnection,
     make_request: impl FnOnce() -> Request<OutgoingBody>,
     buffer_time: Duration,
+    timed_out: impl Future<Output = ()>,
 ) -> Result<ExchangeResponse, ExchangeError> {
     let ServerConnection { socket, sender, driver, .. } = connection;
     let exchange = async {
-        sender.ready().await?;
-        // Data that arrived before the request cannot be its response.
-        if !socket.is_quiet() {
-            return Err(ExchangeError::Connection);
-        }
-        let (parts, body) = sender.send_request(make_request()).await?.into_parts();
+        let mut timed_out = pin!(timed_out);
+        let response = async {
+            sender.ready().await?;
+            // Data that arrived before the request cannot be its response.
+            if !socket.is_quiet() {
+                return Err(ExchangeError::Connection);
+            }
+            Ok(sender.send_request(make_request()).await?)
+        };
+        let (parts, body) = in_time(timed_out.as_mut(), response).await?.into_parts();
         // A server responds only after it has received the last byte. An earlier success is the response to another
         // request.
         let premature = parts.status == StatusCode::OK && !socket.all_sent();
@@ -339,18 +345,7 @@
             return Err(ExchangeError::Malformed);
         }
         let length = body.size_hint().exact();
-        let body = async {
-            let (body, deadline) =
-                (LimitedBody::new(body, RESPONSE_BODY_LIMITS), Instant::now() + MAX_RESERVE_WAIT);
-            let reservation =
-                BodyPurpose::RESPONSE.reserve(&body, node.capacity.memory_budget(), deadline).await?;
-            receive(body, reservation, Some(buffer_time)).await
-        };
-        // Of any other response only the head matters.
-        let body = match parts.status {
-            StatusCode::OK => Some(body.await?),
-            _ => timeout(buffer_time, body).await.ok().transpose()?,
-        };
+        let body = receive_body(node, parts.status, body, buffer_time, timed_out).await?;
         Ok((parts, length, body))
     };
     let (parts, length, body) = drive(driver, exchange).await?;
@@ -360,6 +355,49 @@
     Ok(ExchangeResponse { status: parts.status, headers, body, length, reusable })
 }
 
+/// Receives the body of a response with this status as [`send_request`] says; `None` if it did not arrive and is not needed.
+async fn receive_body(
+    node: &Node,
+    status: StatusCode,
+    body: Incoming,
+    buffer_time: Duration,
+    mut timed_out: Pin<&mut impl Future<Output = ()>>,
+) -> Result<Option<ReceivedBody>, ExchangeError> {
+    let body = LimitedBody::new(body, RESPONSE_BODY_LIMITS);
+    let reserve_until = Instant::now() + MAX_RESERVE_WAIT;
+    let reservation = async {
+        let memory_budget = node.capacity.memory_budget();
+        Ok(BodyPurpose::RESPONSE
+            .reserve(&body, memory_budget, reserve_until)
+            .await
+            .map_err(BodyError::from)?)
+    };
+    let reservation = in_time(timed_out.as_mut(), reservation).await?;
+    if status != StatusCode::OK {
+        // Only the head matters.
+        let body = receive(body, reservation, Some(buffer_time), pending());
+        let body = async { Ok(timeout(buffer_time, body).await.ok().transpose()?) };
+        return in_time(timed_out, body).await;
+    }
+    if body.may_be_long() {
+        return Ok(Some(receive(body, reservation, Some(buffer_time), timed_out).await?));
+    }
+    let body = async { Ok(receive(body, reservation, None, pending()).await?) };
+    in_time(timed_out, body).await.map(Some)
+}
+
+/// The result of `step`, unless the attempt's time is over before.
+async fn in_time<T>(
+    timed_out: Pin<&mut impl Future<Output = ()>>,
+    step: impl Future<Output = Result<T, ExchangeError>>,
+) -> Result<T, ExchangeError> {
+    tokio::select! {
+        biased;
+        result = step => result,
+        () = timed_out => Err(ExchangeError::TimedOut),
+    }
+}
+
 /// Whether the end of a response with these headers is unambiguous. hyper accepts any encoding that ends with
 /// chunks, also beside a length, and otherwise reads to the end of the connection.
 fn has_clear_framing(headers: &HeaderMap) -> bool {
