Take a client for gone as soon as the end of its connection was read

Cause, traced: the connection's task learns of a close from the runtime, which hears of it only when it asks the system for events. While it reads, it may find the end first: the body then fails, the attempt ends as NotSent, and the module refuses the request (logged as "w: attempt 0 at s0: NotSent", "w: refused"), before the task is told. Reading and looking for the close happen in the same poll, and a read that finds the end, or an error, now tells the task too.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -358,7 +358,8 @@
                         return Poll::Ready(ended.is_err());
                     }
                     // While unread bytes follow the request, hyper does not look for the end behind them.
-                    peer_gone = peer_gone || peer_closed.as_mut().poll(cx).is_ready();
+                    peer_gone =
+                        peer_gone || socket.has_read_end() || peer_closed.as_mut().poll(cx).is_ready();
                     let phase = socket.phase().0;
                     if peer_gone
                         && matches!(phase, Phase::WaitingForMemory | Phase::Serving | Phase::Responding)
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -216,6 +216,8 @@
     /// The memory of the head that is being received.
     head_memory: HeadMemory,
     may_hide_close: Cell<bool>,
+    /// Whether a read has found the end of the connection, or its failure.
+    read_ended: Cell<bool>,
 }
 
 impl TrackedSocket {
@@ -263,6 +265,7 @@
             framing: RefCell::default(),
             head_memory: HeadMemory::new(budget),
             may_hide_close: Cell::new(false),
+            read_ended: Cell::new(false),
         }))
     }
 
@@ -402,6 +405,12 @@
         self.may_hide_close.get()
     }
 
+    /// Whether a read has found that the peer has closed or reset the connection or ended its sending. A read may do so before
+    /// the runtime has heard of it, and with it [`Self::peer_closed`].
+    pub fn has_read_end(&self) -> bool {
+        self.read_ended.get()
+    }
+
     /// Waits until the peer has closed or reset the connection or ended its sending, also if unread bytes are
     /// buffered before that.
     pub async fn peer_closed(&self) {
@@ -523,12 +532,16 @@
             ready!(socket.stream.poll_read_ready(cx))?;
             match socket.stream.try_read(&mut chunk[..max_len]) {
                 Ok(n) => {
+                    socket.read_ended.set(n == 0 && max_len > 0);
                     socket.record_read(&chunk[..n]);
                     buf.put_slice(&chunk[..n]);
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => socket.unread_since.set(None),
-                Err(e) => return Poll::Ready(Err(e)),
+                Err(e) => {
+                    socket.read_ended.set(true);
+                    return Poll::Ready(Err(e));
+                }
             }
         }
     }
@@ -571,3 +584,47 @@
         Poll::Ready(SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::future::Future;
+    use std::io::Write as _;
+    use std::pin::pin;
+
+    use super::*;
+
+    /// Reads what is there, without waiting.
+    fn read_now(io: &mut HyperIo, cx: &mut Context<'_>) -> Option<usize> {
+        let mut bytes = [MaybeUninit::uninit(); 16];
+        let mut buffer = hyper::rt::ReadBuf::uninit(&mut bytes);
+        let read = Pin::new(io).poll_read(cx, buffer.unfilled());
+        matches!(read, Poll::Ready(Ok(()))).then(|| buffer.filled().len())
+    }
+
+    /// Guards against a client that is taken for present after the end of its connection was read: the runtime tells of the
+    /// end only when it asks the system for events again.
+    #[test]
+    fn an_end_that_was_read_is_known_before_the_runtime_tells_of_it() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("no free port");
+            let address = listener.local_addr().expect("the local address is unknown");
+            let mut peer = std::net::TcpStream::connect(address).expect("the connection failed");
+            let (stream, _) = listener.accept().await.expect("no connection");
+            let socket = TrackedSocket::new(stream).expect("the socket is broken");
+            peer.write_all(b"half").expect("the socket is broken");
+            socket.stream.readable().await.expect("the socket is broken");
+            drop(peer);
+            let mut io = HyperIo(socket.clone());
+            std::future::poll_fn(|cx| {
+                assert_eq!(read_now(&mut io, cx), Some(4));
+                assert!(!socket.has_read_end());
+                assert_eq!(read_now(&mut io, cx), Some(0));
+                assert!(pin!(socket.peer_closed()).poll(cx).is_pending(), "the runtime knows already");
+                Poll::Ready(())
+            })
+            .await;
+            assert!(socket.has_read_end());
+        });
+    }
+}
