Pass on a long response without waiting for memory

Callers saw: with more long answers at once than memory holds, a long answer whose head had come was held back for up to 2 s and then cut off, and its request answered 502.

Cause: receive_body reserved 48 KiB for a long response and waited for them (MAX_RESERVE_WAIT), within the attempt's time. A short one that finds no memory is streamed in single pieces, which its request's reservation covers; a long one does the same now.

lack_of_memory_ejects_no_server_and_causes_no_retry asked that at least 10 of 200 such responses fail with 502, which was the fault. Its successor lack_of_memory_cuts_off_no_response_and_ejects_no_server asks that every request that was sent is answered with its response, that the others are refused (at least 10, so that memory is short), and as before that none is retried and no server ejected.

--- a/src/net/bodies.rs
+++ b/src/net/bodies.rs
@@ -266,8 +266,14 @@
     /// For the body of a response.
     pub const RESPONSE: Self = Self { short: Purpose::ResponseBody, long: Purpose::LongResponseBody };
 
-    /// Reserves memory for a body; a long one waits for it until `deadline`. `None` if a short one has to be streamed in
-    /// single pieces, which is within the memory of its request.
+    /// Reserves memory for a body. `None` if there is none: then it has to be streamed in single pieces, which is within the
+    /// memory of its request.
+    pub fn try_reserve(self, body: &LimitedBody, budget: &MemoryBudget) -> Option<Reservation> {
+        let (bytes, purpose) = self.needed(body);
+        budget.try_reserve(bytes, purpose).ok()
+    }
+
+    /// Reserves memory for a body as [`Self::try_reserve`] does, but a long one waits for it until `deadline`.
     ///
     /// # Errors
     /// [`OutOfMemory`] for a long one.
@@ -277,11 +283,18 @@
         budget: &MemoryBudget,
         deadline: Instant,
     ) -> Result<Option<Reservation>, OutOfMemory> {
-        match body.length() {
-            Some(length) if length > MAX_BUFFERED_BYTES => {
-                budget.reserve(STREAMING_BYTES, self.long, deadline).await.map(Some)
+        match self.needed(body) {
+            (bytes, purpose) if purpose == self.long => {
+                budget.reserve(bytes, purpose, deadline).await.map(Some)
             }
-            length => Ok(budget.try_reserve(length.unwrap_or(UNKNOWN_LENGTH_BYTES), self.short).ok()),
+            _ => Ok(self.try_reserve(body, budget)),
+        }
+    }
+
+    fn needed(self, body: &LimitedBody) -> (usize, Purpose) {
+        match body.length() {
+            Some(length) if length > MAX_BUFFERED_BYTES => (STREAMING_BYTES, self.long),
+            length => (length.unwrap_or(UNKNOWN_LENGTH_BYTES), self.short),
         }
     }
 }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -21,7 +21,7 @@
     ReceivedBody,
 };
 use super::log;
-use super::memory::{OutOfMemory, MAX_RESERVE_WAIT};
+use super::memory::OutOfMemory;
 use super::node::Node;
 use super::pool::ServerConnection;
 use super::request::{
@@ -361,18 +361,10 @@
     status: StatusCode,
     body: Incoming,
     buffer_time: Duration,
-    mut timed_out: Pin<&mut impl Future<Output = ()>>,
+    timed_out: Pin<&mut impl Future<Output = ()>>,
 ) -> Result<Option<ReceivedBody>, ExchangeError> {
     let body = LimitedBody::new(body, RESPONSE_BODY_LIMITS);
-    let reserve_until = Instant::now() + MAX_RESERVE_WAIT;
-    let reservation = async {
-        let memory_budget = node.capacity.memory_budget();
-        Ok(BodyPurpose::RESPONSE
-            .reserve(&body, memory_budget, reserve_until)
-            .await
-            .map_err(BodyError::from)?)
-    };
-    let reservation = in_time(timed_out.as_mut(), reservation).await?;
+    let reservation = BodyPurpose::RESPONSE.try_reserve(&body, node.capacity.memory_budget());
     if status != StatusCode::OK {
         // Only the head matters.
         let body = receive(body, reservation, Some(buffer_time), pending());
