Count the heads of requests that wait for memory, and let go of what else they hold

Cause: a request is counted once it has memory. While it waits for that it holds its parsed head (some 20 KiB for 90 fields of a few bytes: the map of fields, and two blocks for each), the 8 KiB that it was read into, of which its path and fields are slices, another 8 KiB that the HTTP library reads the client's close into, and the state of its response. With 16 KiB for a connection counted, hundreds of them took the process over its limit. A long head that comes in parts is counted; one that comes at once never was.

Now a request that has to wait copies its head out of the buffer, is counted (WaitingHead, which finds room beside those that hold all that requests may take, and is limited with other heads), and is refused after 0.2 s if there is no room even for that. What is in use only once there is memory (body, admission, response) is boxed, so that a connection and a request that waits do not carry it.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -428,7 +428,8 @@
                         format!("{}: request took {arrival:.1?} to arrive", received.request.txn())
                     });
                 }
-                admit_and_serve(&node, &socket, received).await
+                // Boxed: each connection has room for all of its response's future, also between requests.
+                Box::pin(admit_and_serve(&node, &socket, received)).await
             }
             Err(Rejection { status, close }) => {
                 let mut response = empty_response(status);
--- a/src/net/incoming.rs
+++ b/src/net/incoming.rs
@@ -12,10 +12,11 @@
 use tulipmount::wire::NodeSettings;
 use tulipmount::Idempotency;
 
-use super::bodies::{receive, BodyError, BodyLimits, BodyPurpose, LimitedBody, MaxWait};
-use super::memory::{OutOfMemory, Purpose, Reservation, MAX_RESERVE_WAIT};
+use super::bodies::{receive, BodyError, BodyLimits, BodyPurpose, LimitedBody, MaxWait, ReceivedBody};
+use super::memory::{OutOfMemory, Reservation, MAX_RESERVE_WAIT};
 use super::node::Node;
 use super::request::{end_to_end, ForwardedRequest, TransferEncoding, REMAINING_MS, TXN};
+use super::request_memory::reserve_request;
 use super::socket::{Phase, TrackedSocket};
 
 /// Longer deadlines are cut to this, in milliseconds.
@@ -36,13 +37,6 @@
 const RESPONSE_TIME_DIVISOR: u32 = 16;
 /// How long a reset takes that answers a response to a client that has closed.
 const RESET_TIME: Duration = Duration::from_millis(10);
-/// The memory of an open request besides its head and held bodies, in bytes: tasks, and pieces of a body that is passed on.
-const REQUEST_BYTES: usize = 24 * 1024;
-/// How often an open request's head is held: as it came, as it is forwarded, and while that is written.
-const HEAD_COPIES: usize = 3;
-/// The memory of one field in all these copies besides its text, in bytes.
-const FIELD_BYTES: usize = 400;
-
 /// The header with the name of the tenant.
 const TENANT: HeaderName = HeaderName::from_static("x-org");
 /// The header with the client's estimate of the request's work, in microseconds.
@@ -104,6 +98,22 @@
     pub memory: Reservation,
 }
 
+/// A request whose head was checked.
+struct CheckedRequest {
+    parts: Parts,
+    body: Incoming,
+    class: usize,
+    tenant: Option<usize>,
+    remaining: Duration,
+}
+
+impl CheckedRequest {
+    /// A rejection with this status. If the body is not read before the response is sent, the connection cannot be reused.
+    fn reject(&self, status: StatusCode) -> Rejection {
+        Rejection { status, close: is_body_unread(&self.parts.headers, &self.body) }
+    }
+}
+
 /// Reads a request whole, up to a long body, which is passed on as it comes. Waits first until there is memory for it, as
 /// long as its time allows.
 ///
@@ -115,50 +125,75 @@
     request: Request<Incoming>,
     ambiguous_framing: bool,
 ) -> Result<ReceivedRequest, Rejection> {
+    let mut checked = check_request(node, request, ambiguous_framing)?;
+    let remaining = checked.remaining;
+    let max_wait = MAX_RESERVE_WAIT.min(remaining - remaining / RESPONSE_TIME_DIVISOR);
+    let waiting_since = Instant::now();
+    let reserve_until = waiting_since + max_wait;
+    socket.enter(Phase::WaitingForMemory);
+    if socket.may_hide_close() {
+        // If the client has closed, the response before this request was answered by a reset. That ends this call.
+        let _ = timeout(RESET_TIME, socket.peer_closed()).await;
+    }
+    let rejection = checked.reject(StatusCode::SERVICE_UNAVAILABLE);
+    let memory = reserve_request(node.capacity.memory_budget(), &mut checked.parts, reserve_until).await;
+    let memory = memory.map_err(|OutOfMemory| rejection)?;
+    // Boxed, so that a request that waits takes little.
+    Box::pin(async move {
+        let body = LimitedBody::new(checked.body, REQUEST_BODY_LIMITS);
+        let budget = node.capacity.memory_budget();
+        let reservation = BodyPurpose::REQUEST.reserve(&body, budget, reserve_until).await;
+        let reservation = reservation.map_err(BodyError::from)?;
+        socket.set_unread_since(waiting_since);
+        socket.enter(Phase::ReadingBody);
+        let body = receive(body, reservation, None, pending()).await?;
+        let request = into_forwarded(checked.parts, checked.class, checked.tenant, body);
+        Ok(ReceivedRequest { request, remaining, memory })
+    })
+    .await
+}
+
+/// Checks all of a request that can be checked before its body is read.
+fn check_request(
+    node: &Node,
+    request: Request<Incoming>,
+    ambiguous_framing: bool,
+) -> Result<CheckedRequest, Rejection> {
     let settings = &node.config.node_settings;
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let encoding = TransferEncoding::of(&parts.headers);
     // A request whose end can be determined in two ways may hide another request (RFC 9112, section 6.1).
     if encoding == TransferEncoding::Other || (encoding == TransferEncoding::Chunked && ambiguous_framing) {
         return Err(Rejection { status: StatusCode::BAD_REQUEST, close: true });
     }
-    let declared = parts.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-    // If the body is not read before the response is sent, the connection cannot be reused.
-    let reject_unread =
-        |status| Rejection { status, close: declared != Some(0) && !hyper::body::Body::is_end_stream(&body) };
-    if declared.is_some_and(|n| n > MAX_BODY_BYTES as u64) {
-        return Err(reject_unread(StatusCode::PAYLOAD_TOO_LARGE));
+    let close = is_body_unread(&parts.headers, &body);
+    let reject = |status| Rejection { status, close };
+    if content_length(&parts.headers).is_some_and(|length| length > MAX_BODY_BYTES as u64) {
+        return Err(reject(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let class = class_of(settings, parts.uri.path()).ok_or_else(|| reject_unread(StatusCode::NOT_FOUND))?;
+    let class = class_of(settings, parts.uri.path()).ok_or_else(|| reject(StatusCode::NOT_FOUND))?;
     let checked = check_headers(&parts.method, &parts.headers, settings.settings.classes[class].idempotency);
-    let remaining = checked.map_err(|rejection| reject_unread(rejection.status))?;
+    let remaining = checked.map_err(|rejection| reject(rejection.status))?;
     // A tenant's name may have non-ASCII letters. A repeated header counts as none.
     let mut orgs = parts.headers.get_all(&TENANT).iter();
     let org = orgs.next().filter(|_| orgs.next().is_none());
     let tenant =
         org.and_then(|org| settings.tenant_names.iter().position(|t| t.as_bytes() == org.as_bytes()));
-    let mut uri = Uri::builder();
-    if let Some(path) = parts.uri.path_and_query() {
-        uri = uri.path_and_query(path.clone());
-    }
-    let uri = uri.build().map_err(|_| reject_unread(StatusCode::BAD_REQUEST))?;
-    let max_wait = MAX_RESERVE_WAIT.min(remaining - remaining / RESPONSE_TIME_DIVISOR);
-    let waiting_since = Instant::now();
-    let reserve_until = waiting_since + max_wait;
-    socket.enter(Phase::WaitingForMemory);
-    if socket.may_hide_close() {
-        // If the client has closed, the response before this request was answered by a reset. That ends this call.
-        let _ = timeout(RESET_TIME, socket.peer_closed()).await;
-    }
-    let memory =
-        node.capacity.memory_budget().reserve(request_bytes(&parts), Purpose::Request, reserve_until).await;
-    let memory = memory.map_err(|OutOfMemory| reject_unread(StatusCode::SERVICE_UNAVAILABLE))?;
-    let body = LimitedBody::new(body, REQUEST_BODY_LIMITS);
-    let reservation = BodyPurpose::REQUEST.reserve(&body, node.capacity.memory_budget(), reserve_until).await;
-    let reservation = reservation.map_err(BodyError::from)?;
-    socket.set_unread_since(waiting_since);
-    socket.enter(Phase::ReadingBody);
-    let body = receive(body, reservation, None, pending()).await?.into();
+    parts.uri = origin_form(&parts.uri).ok_or_else(|| reject(StatusCode::BAD_REQUEST))?;
+    Ok(CheckedRequest { parts, body, class, tenant, remaining })
+}
+
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Whether a request has a body of which nothing has been read.
+fn is_body_unread(headers: &HeaderMap, body: &Incoming) -> bool {
+    content_length(headers) != Some(0) && !hyper::body::Body::is_end_stream(body)
+}
+
+/// A request in the form that is sent to a server.
+fn into_forwarded(parts: Parts, class: usize, tenant: Option<usize>, body: ReceivedBody) -> ForwardedRequest {
     let mut headers = end_to_end(&parts.headers);
     headers.remove(REMAINING_MS);
     // An estimate that cannot be parsed is ignored.
@@ -168,16 +203,17 @@
     if !headers.contains_key(HOST) {
         headers.insert(HOST, HeaderValue::from_static("service.internal"));
     }
-    let request =
-        ForwardedRequest { class, tenant, resent, estimated_work, method: parts.method, uri, headers, body };
-    Ok(ReceivedRequest { request, remaining, memory })
+    let Parts { method, uri, .. } = parts;
+    ForwardedRequest { class, tenant, resent, estimated_work, method, uri, headers, body: body.into() }
 }
 
-/// The memory that a request takes while it is open, besides bodies that are held.
-fn request_bytes(parts: &Parts) -> usize {
-    let path = parts.uri.path_and_query().map_or(0, |path| path.as_str().len());
-    let text: usize = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
-    REQUEST_BYTES + HEAD_COPIES * (path + text) + FIELD_BYTES * parts.headers.len()
+/// Path and query of a URI, alone.
+fn origin_form(uri: &Uri) -> Option<Uri> {
+    let builder = Uri::builder();
+    match uri.path_and_query() {
+        Some(path) => builder.path_and_query(path.clone()).build().ok(),
+        None => builder.build().ok(),
+    }
 }
 
 /// The index of the class that a path names, literally or percent-encoded. No class has an empty name.
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -28,6 +28,8 @@
     Head,
     /// The rest of such a head, if it is long.
     LongHead,
+    /// The head of a request that waits for the memory of an open one.
+    WaitingHead,
     /// An open request.
     Request,
     /// A request's body that is held as a whole.
@@ -41,14 +43,15 @@
 }
 
 impl Purpose {
-    const COUNT: usize = 7;
+    const COUNT: usize = 8;
 
     /// How many quarters of the usable memory may be taken, by all purposes together, after a reservation for this one.
     fn max_quarters(self) -> usize {
         match self {
             // Responses need memory while requests are held.
             Self::Head | Self::LongHead | Self::Request | Self::RequestBody | Self::LongRequestBody => 3,
-            Self::ResponseBody | Self::LongResponseBody => 4,
+            // A response without a reservation is streamed in single pieces.
+            Self::WaitingHead | Self::ResponseBody | Self::LongResponseBody => 4,
         }
     }
 
@@ -56,7 +59,7 @@
     fn group(self) -> Option<(Group, usize)> {
         match self {
             Self::LongHead => Some((Group::Heads, 1)),
-            Self::Head => Some((Group::Heads, 2)),
+            Self::Head | Self::WaitingHead => Some((Group::Heads, 2)),
             Self::LongRequestBody | Self::LongResponseBody => Some((Group::LongBodies, 2)),
             Self::Request | Self::RequestBody | Self::ResponseBody => None,
         }
@@ -195,6 +198,15 @@
         Ok(Reservation { budget: self.clone(), purpose, bytes })
     }
 
+    /// Reserves memory as [`Self::try_reserve`] does, unless others wait for it.
+    ///
+    /// # Errors
+    /// [`OutOfMemory`].
+    pub fn try_reserve_in_turn(&self, bytes: usize, purpose: Purpose) -> Result<Reservation, OutOfMemory> {
+        let _turn = self.0.queues[purpose as usize].try_lock().map_err(|_| OutOfMemory)?;
+        self.try_reserve(bytes, purpose)
+    }
+
     /// Reserves memory as [`Self::try_reserve`] does, waiting for it until `deadline`, in turn with others.
     ///
     /// # Errors
@@ -398,6 +410,29 @@
         assert_eq!((half.max_client_connections(), half.max_server_connections()), (2, 1));
     }
 
+    /// Heads of requests that wait find room beside those that hold all memory that requests may take, and nobody passes them.
+    #[test]
+    fn requests_wait_beside_those_that_hold_memory() {
+        run(async {
+            let budget = MemoryBudget::of(1000);
+            let requests = budget.try_reserve(750, Request).expect("three quarters");
+            assert!(!can_reserve(&budget, 1, Head));
+            assert!(can_reserve(&budget, 250, WaitingHead) && !can_reserve(&budget, 251, WaitingHead));
+            let mut first = Box::pin(budget.reserve(700, Request, Instant::now() + Duration::from_secs(60)));
+            tokio::select! {
+                biased;
+                _ = &mut first => panic!("nothing is free"),
+                () = async {} => {}
+            }
+            drop(requests);
+            assert!(budget.try_reserve_in_turn(1, Request).is_err(), "another one waits");
+            let first = first.await.expect("room");
+            assert!(budget.try_reserve_in_turn(50, Request).is_ok());
+            drop(first);
+            assert!(can_reserve(&budget, 500, WaitingHead) && !can_reserve(&budget, 501, WaitingHead));
+        });
+    }
+
     /// Memory is released with the last copy of the bytes that take it.
     #[test]
     fn bytes_keep_their_reservation_until_the_last_copy_is_dropped() {
