Count for a connection what it takes once it was used

Cause, traced: a connection was counted with 16 KiB, the resident memory of a new one. Its buffers of 8 KiB each were then mostly untouched. Once it was used they are resident, and the read buffer is often doubled.

A connection counts 24 KiB now, and the read buffer's doubling for a short head 8 KiB, as the copy that it takes exists for one connection at a time. So that a node with 32 MB still may have 149 connections to servers, connections share the same three quarters of the budget differently: 448 for clients and 149 to servers (571 and 149 before). Long responses reserve a quarter of what is left, not half: those without a reservation are passed on all the same, and requests need it more. Two unit tests have the new shares, as exactly as before.

--- a/src/net/head_memory.rs
+++ b/src/net/head_memory.rs
@@ -12,10 +12,9 @@
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// The size of the buffer that each connection has, and what the HTTP library wants free in it before it reads more.
 const BUFFER_BYTES: usize = 8 * 1024;
-/// What the buffer takes beyond its first size while it holds part of a head that fits into that: it is doubled. It is
-/// copied as it grows, which takes half as much again.
-const SHORT_HEAD_BYTES: usize = BUFFER_BYTES * 3 / 2;
-/// The same for any longer head.
+/// What the buffer takes beyond its first size while it holds part of a head that fits into that: it is doubled.
+const SHORT_HEAD_BYTES: usize = BUFFER_BYTES;
+/// The same for any longer head. The buffer is copied as it grows, which leaves holes.
 const LONG_HEAD_BYTES: usize = (MAX_HEAD_BYTES - BUFFER_BYTES) * 3 / 2;
 /// How long a head waits for memory before it is refused. Its client's deadline is not known yet.
 const MAX_WAIT: Duration = Duration::from_millis(500);
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -10,12 +10,12 @@
 use tokio::sync::{Mutex, Notify};
 use tokio::time::timeout_at;
 
-/// What a connection takes by itself, in bytes: its task, and the buffers with which the HTTP library begins.
-const CONNECTION_BYTES: usize = 16 * 1024;
-/// The parts of the budget, 1 / 8 each, that connections of clients and to servers may take.
-const CLIENT_CONNECTION_PARTS: usize = 5;
-const SERVER_CONNECTION_PARTS: usize = 1;
-const CONNECTION_PARTS: usize = 8;
+/// What a connection takes by itself once it has been used, in bytes: its task, and the buffers that the HTTP library keeps.
+const CONNECTION_BYTES: usize = 24 * 1024;
+/// The parts of the budget, 1 / 16 each, that connections of clients and to servers may take.
+const CLIENT_CONNECTION_PARTS: usize = 9;
+const SERVER_CONNECTION_PARTS: usize = 3;
+const CONNECTION_PARTS: usize = 16;
 /// What the process takes without any connection, in bytes.
 const PROCESS_BYTES: usize = 4 << 20;
 /// The longest time that a request or a body waits for memory.
@@ -60,7 +60,9 @@
         match self {
             Self::LongHead => Some((Group::Heads, 1)),
             Self::Head | Self::WaitingHead => Some((Group::Heads, 2)),
-            Self::LongRequestBody | Self::LongResponseBody => Some((Group::LongBodies, 2)),
+            Self::LongRequestBody => Some((Group::LongBodies, 2)),
+            // Those without a reservation are streamed in single pieces, and requests need the memory more.
+            Self::LongResponseBody => Some((Group::LongBodies, 1)),
             Self::Request | Self::RequestBody | Self::ResponseBody => None,
         }
     }
@@ -325,8 +327,9 @@
         let (single, half) = (MemoryBudget::of_process(limit, 1), MemoryBudget::of_process(limit, 2));
         assert!(can_reserve(&single, 2000, ResponseBody) && !can_reserve(&single, 2001, ResponseBody));
         assert!(can_reserve(&half, 1000, ResponseBody) && !can_reserve(&half, 1001, ResponseBody));
-        let long = half.try_reserve(500, LongResponseBody).expect("half of its half");
-        assert!(!can_reserve(&half, 1, LongResponseBody) && !can_reserve(&half, 501, ResponseBody));
+        let long = half.try_reserve(500, LongRequestBody).expect("half of its half");
+        assert!(!can_reserve(&half, 1, LongRequestBody) && !can_reserve(&half, 1, LongResponseBody));
+        assert!(!can_reserve(&half, 501, ResponseBody));
         let short = half.try_reserve(500, ResponseBody).expect("the rest");
         assert!(!can_reserve(&half, 1, ResponseBody));
         drop((long, short));
@@ -334,7 +337,8 @@
         assert!(!can_reserve(&half, 1, Request) && !can_reserve(&half, 1, LongRequestBody));
         assert!(can_reserve(&half, 250, LongResponseBody) && !can_reserve(&half, 251, LongResponseBody));
         drop(requests);
-        assert!(can_reserve(&half, 500, LongResponseBody) && !can_reserve(&half, 501, LongResponseBody));
+        assert!(can_reserve(&half, 500, LongRequestBody) && !can_reserve(&half, 501, LongRequestBody));
+        assert!(can_reserve(&half, 250, LongResponseBody) && !can_reserve(&half, 251, LongResponseBody));
         assert!(MemoryBudget::of_process(PROCESS_BYTES / 2, 1).try_reserve(1, ResponseBody).is_err());
     }
 
@@ -385,7 +389,8 @@
         let rest = 2 * CONNECTION_BYTES;
         budget.expect_connections(2);
         assert!(!can_reserve(&budget, rest + 1, ResponseBody));
-        assert!(!can_reserve(&budget, rest / 2 + 1, LongResponseBody));
+        assert!(!can_reserve(&budget, rest / 2 + 1, LongRequestBody));
+        assert!(!can_reserve(&budget, rest / 4 + 1, LongResponseBody));
         let two = [budget.add_connection(), budget.add_connection()];
         let body = budget.try_reserve(rest, ResponseBody).expect("room");
         assert!(!budget.has_connection_room());
@@ -404,8 +409,8 @@
     /// Connections to servers and of clients have room for each other, and leave some of the budget to requests.
     #[test]
     fn connections_never_take_all_of_the_budget() {
-        let budget = MemoryBudget::of(8 * CONNECTION_BYTES);
-        assert_eq!((budget.max_client_connections(), budget.max_server_connections()), (5, 1));
+        let budget = MemoryBudget::of(16 * CONNECTION_BYTES);
+        assert_eq!((budget.max_client_connections(), budget.max_server_connections()), (9, 3));
         let half = MemoryBudget::of(4 * CONNECTION_BYTES);
         assert_eq!((half.max_client_connections(), half.max_server_connections()), (2, 1));
     }
