--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -59,6 +59,12 @@
 const FIELD_CLIENTS: usize = 600;
 /// How many fields of a few bytes each of their heads has: nearly as many as the node takes.
 const FIELDS: usize = 90;
+/// Clients that send many requests at once on each connection and read slowly, and how many requests and fields each sends.
+const PIPELINING_CLIENTS: usize = 600;
+const PIPELINED_REQUESTS: usize = 60;
+const PIPELINED_FIELDS: usize = 30;
+/// How many bytes such a client reads at a time, with a pause of [`CROWD_INTERVAL`] between.
+const SLOW_READ_BYTES: usize = 4096;
 /// The age at which a process takes itself to be the node's only one, and slack.
 const SOLE_AGE: Duration = Duration::from_secs(11);
 /// How often memory is sampled.
@@ -225,16 +231,40 @@
     }
 }
 
+/// A request with this many short fields.
+fn request_with_fields(txn: &str, fields: usize) -> String {
+    let fields: String = (0..fields).map(|field| format!("a{field}: b\r\n")).collect();
+    request("look", txn, DEADLINE_MS).replacen("Host:", &format!("{fields}Host:"), 1)
+}
+
+/// Sends many requests at once on a connection and reads their responses slowly, until it ends; then on a new one.
+fn send_pipelined(address: SocketAddr, number: usize, pieces_read: &AtomicUsize, stopped: &AtomicBool) {
+    for connection in 0.. {
+        let mut client = Client::connect_to(address);
+        let requests = (0..PIPELINED_REQUESTS)
+            .map(|n| request_with_fields(&format!("p{number}-{connection}-{n}"), PIPELINED_FIELDS));
+        let _ = client.try_send(requests.collect::<String>().as_bytes());
+        while client.try_read(SLOW_READ_BYTES).is_ok_and(|piece| !piece.is_empty()) {
+            if stopped.load(Ordering::SeqCst) {
+                return;
+            }
+            pieces_read.fetch_add(1, Ordering::SeqCst);
+            std::thread::sleep(CROWD_INTERVAL);
+        }
+        if stopped.load(Ordering::SeqCst) {
+            return;
+        }
+    }
+}
+
 /// Sends heads of many short fields, each whole and on a new connection.
 fn send_fields(address: SocketAddr, number: usize, answered: &AtomicUsize, stopped: &AtomicBool) {
-    let fields: String = (0..FIELDS).map(|field| format!("a{field}: b\r\n")).collect();
     for attempt in 0.. {
         if stopped.load(Ordering::SeqCst) {
             return;
         }
         let mut client = Client::connect_to(address);
-        let head = request("look", &format!("f{number}-{attempt}"), DEADLINE_MS);
-        let head = head.replacen("Host:", &format!("{fields}Host:"), 1);
+        let head = request_with_fields(&format!("f{number}-{attempt}"), FIELDS);
         let response = client.try_send(head.as_bytes()).ok().and_then(|()| client.receive());
         answered.fetch_add(usize::from(response.is_some()), Ordering::SeqCst);
         std::thread::sleep(PAUSE);
@@ -389,6 +419,20 @@
     });
 }
 
+/// Guards against what connections hold of further requests that came at once.
+#[test]
+fn memory_stays_within_the_limit_with_many_requests_at_once_on_each_connection() {
+    let (limits, servers) = (Limits::MANY_DESCRIPTORS, start_servers());
+    let registry = register(&servers);
+    let node = Node::start_ready(&config_with_limits(&registry, limits));
+    std::thread::scope(|scope| {
+        let load = Load::start_with(scope, node.address, PIPELINING_CLIENTS, send_pipelined);
+        load.wait_rounds(100);
+        load.stop();
+    });
+    limits.check(node.peak_memory_kib());
+}
+
 /// Guards against responses that are no longer counted while their clients have not read them, and against connections
 /// that are not counted.
 #[test]
