Hold the port of a test's address that refuses connections

a_node_serves_by_its_saved_list_while_discovery_is_down failed twice in 20 plays of tests/node.rs (once alone, once of 18 three side by side): its first request was answered by nobody it knew. Traced in the second: the test takes a free port, gives it back, and expects connections to it to be refused 2.5 s later; by then another test listened there ("new connection to 127.0.0.1:45835 broke", after an incomplete body). The node did what it should with what it got. The port now stays taken, by a socket that does not listen, so that connections are refused for as long as the test lasts; its checks are the same, and so are those of the other test that took a port this way.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -107,12 +107,10 @@
 /// A request whose connection was refused never ran, so even an unsafe one goes to the other server.
 #[test]
 fn an_unsafe_request_survives_a_refused_connection() {
-    let refusing = TcpListener::bind("127.0.0.1:0")
-        .expect("no free port")
-        .local_addr()
-        .expect("the local address is unknown");
+    let refusing = RefusingAddress::new();
     let good = TestServer::ok("good");
-    let registry = Registry::new(&[host("s0", refusing, "active", 1), host("s1", good.address, "active", 2)]);
+    let registry =
+        Registry::new(&[host("s0", refusing.address, "active", 1), host("s1", good.address, "active", 2)]);
     let node = Node::start_ready(&config(registry.address));
     let mut client = Client::connect(&node);
     for n in 0..4 {
@@ -723,15 +721,12 @@
 /// A node that starts with a saved list while discovery is down serves by that list.
 #[test]
 fn a_node_serves_by_its_saved_list_while_discovery_is_down() {
-    let refusing = TcpListener::bind("127.0.0.1:0")
-        .expect("no free port")
-        .local_addr()
-        .expect("the local address is unknown");
+    let refusing = RefusingAddress::new();
     let good = TestServer::ok("a");
     let registry = Registry::new(&[]);
     registry.set_down(true);
     let mut config = config(registry.address);
-    let hosts = [host("s0", refusing, "active", 1), host("s1", good.address, "active", 1)];
+    let hosts = [host("s0", refusing.address, "active", 1), host("s1", good.address, "active", 1)];
     config["known"] = json!({"seq": 41, "whole": true, "hosts": hosts});
     let node = Node::start_ready(&config);
     for n in 0..4 {
--- a/tests/peers/servers.rs
+++ b/tests/peers/servers.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 use super::{http_response, read_message, Message};
 
@@ -37,6 +37,22 @@
     }
 }
 
+/// An address that refuses connections as long as this is held: its port is taken, so that nothing else listens there.
+pub struct RefusingAddress {
+    pub address: SocketAddr,
+    _bound: Socket,
+}
+
+impl RefusingAddress {
+    /// Takes a free port.
+    pub fn new() -> Self {
+        let bound = Socket::new(Domain::IPV4, Type::STREAM, None).expect("no socket can be created");
+        bound.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("no free port");
+        let address = bound.local_addr().expect("the local address is unknown");
+        Self { address: address.as_socket().expect("not an IP address"), _bound: bound }
+    }
+}
+
 /// A scripted app server.
 pub struct TestServer {
     pub address: SocketAddr,
