--- a/src/main.rs
+++ b/src/main.rs
@@ -170,7 +170,8 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         log::refill_limit();
-        log::line(format!("{} clients, {}", clients.open_connections(), node.status()));
+        let (open, phases) = (clients.open_connections(), clients.describe_phases());
+        log::line(format!("{open} clients, {}, connections: {phases}", node.status()));
         node.capacity.expect_connections();
         node.pool.sweep();
         clients.sweep();
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -240,11 +240,18 @@
     /// response. A head that is left unread waits for the node.
     pub fn sweep(&self) {
         self.log_closed_unread();
-        self.close_where(|socket, phase, since| match phase {
-            Phase::New | Phase::ReadingHead => since.elapsed() >= HEAD_TIMEOUT && socket.is_quiet(),
-            Phase::Responding => socket.write_stalled_for() >= UNREAD_RESPONSE_TIMEOUT,
-            _ => false,
+        let slow = self.close_where(|socket, phase, since| {
+            let is_head = matches!(phase, Phase::New | Phase::ReadingHead);
+            is_head && since.elapsed() >= HEAD_TIMEOUT && socket.is_quiet()
+        });
+        let unread = self.close_where(|socket, phase, _| {
+            phase == Phase::Responding && socket.write_stalled_for() >= UNREAD_RESPONSE_TIMEOUT
         });
+        if slow + unread > 0 {
+            log::line(format!(
+                "closes connections: {slow} without a request's head in time, {unread} whose response is not read"
+            ));
+        }
     }
 
     fn log_closed_unread(&self) {
@@ -281,13 +288,17 @@
         self.close_where(|_, _, _| true);
     }
 
-    fn close_where(&self, matches: impl Fn(&TrackedSocket, Phase, Instant) -> bool) {
+    /// Closes the connections that match, and returns how many these are.
+    fn close_where(&self, matches: impl Fn(&TrackedSocket, Phase, Instant) -> bool) -> usize {
+        let mut closed = 0;
         for client in self.open.borrow().values() {
             let (phase, since) = client.socket.phase();
             if matches(&client.socket, phase, since) {
                 client.close.notify_one();
+                closed += 1;
             }
         }
+        closed
     }
 
     /// Closes the connection that has been idle for longest; if there is none, the one whose request has not
@@ -472,15 +483,16 @@
     txn: String,
     since: Instant,
     answered: bool,
+    /// Whether the request was answered by its deadline, without the decision module.
+    overdue: bool,
 }
 
 impl Drop for CancelOnDrop {
     fn drop(&mut self) {
         if !self.answered {
             let after = self.since.elapsed();
-            log::limited(|| {
-                format!("{}: client disconnected, or deadline passed, after {after:.1?}", self.txn)
-            });
+            let reason = if self.overdue { "deadline passed" } else { "client disconnected" };
+            log::limited(|| format!("{}: {reason} after {after:.1?}", self.txn));
             self.node.client_gone(self.id);
         }
     }
@@ -531,7 +543,8 @@
     let (module_margin, node_margin) = margins(remaining);
     let (txn, streamed) = (request.txn().to_string(), StreamedRequest::of(&request, socket));
     let (id, mut receiver) = node.start_request(request, received + remaining - module_margin);
-    let mut cancel = CancelOnDrop { node: node.clone(), id, txn, since: received, answered: false };
+    let mut cancel =
+        CancelOnDrop { node: node.clone(), id, txn, since: received, answered: false, overdue: false };
     if let Some(streamed) = streamed {
         tokio::select! {
             biased;
@@ -550,12 +563,14 @@
             }
             () = streamed.until_overdue(received, remaining - node_margin) => {
                 // No server has all of it, so none has begun it.
+                cancel.overdue = true;
                 hold.metrics.outcome = RequestOutcome::Overload;
                 return refusal(0.0);
             }
         }
     }
     let Some(response) = by_deadline(cancel.since + remaining - node_margin, receiver).await else {
+        cancel.overdue = true;
         return empty_response(StatusCode::GATEWAY_TIMEOUT);
     };
     cancel.answered = true;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A file uses only files that come before it in this order:
 //! - `advice`, `log`, `metrics`, `bans`, `config`, `listen`, `epoch_file`, `votes`, `abandoned_ids`: one subject each,
-//! - `memory`, `capacity`, `head_memory`, `request_memory`, `bodies`, `socket`, `request`: what passes through the node, and the sockets that carry it,
+//! - `memory`, `capacity`, `head_memory`, `bodies`, `socket`, `request`, `request_memory`: what passes through the node, and the sockets that carry it,
 //! - `pool`: connections to servers,
 //! - `admission`: whether new requests may be taken under the agreed policy,
 //! - `node`: the owner of the decision module, which starts I/O through [`node::NodeIo`],
--- a/src/net/request_memory.rs
+++ b/src/net/request_memory.rs
@@ -7,7 +7,9 @@
 use hyper::HeaderMap;
 use tokio::time::sleep_until;
 
+use super::log;
 use super::memory::{MemoryBudget, OutOfMemory, Purpose, Reservation};
+use super::request::TXN;
 
 /// The memory of an open request besides its head and held bodies, in bytes: tasks, and pieces of a body that is passed on.
 const REQUEST_BYTES: usize = 24 * 1024;
@@ -38,11 +40,18 @@
     }
     detach(parts);
     let Ok(_waiting) = budget.try_reserve(waiting_bytes(parts), Purpose::WaitingHead) else {
+        log_refusal(parts, "no memory for its head", budget);
         parts.headers = HeaderMap::new();
         sleep_until(deadline.min(Instant::now() + REFUSAL_DELAY).into()).await;
         return Err(OutOfMemory);
     };
-    budget.reserve(needed, Purpose::Request, deadline).await
+    let reserved = budget.reserve(needed, Purpose::Request, deadline).await;
+    reserved.inspect_err(|OutOfMemory| log_refusal(parts, "no memory in time", budget))
+}
+
+fn log_refusal(parts: &Parts, reason: &str, budget: &MemoryBudget) {
+    let txn = parts.headers.get(TXN).and_then(|value| value.to_str().ok()).unwrap_or("no id");
+    log::limited(|| format!("{txn}: refused, {reason}: {}", budget.describe()));
 }
 
 /// Copies a head out of the buffer into which it was read, of which it would keep all.
