Count connections to servers by what they take, and make them smaller

Cause, by a heap profile (trial): a connection to a server takes 8 KiB more than a client's. The HTTP library's queue of requests to it has room for 32, of 424 bytes each, of which more than a third is a streamed body's state; 1,799 KiB of the heap were such queues, of 133 connections.

A connection to a server counts 32 KiB now, one of a client 24; a streamed body is boxed, so that only requests that have one carry it. With 32 MB and 1,024 descriptors there may be 448 connections of clients, as before, and 112 to servers (149). The unit tests check the limits of both kinds.

--- a/src/net/bodies.rs
+++ b/src/net/bodies.rs
@@ -352,8 +352,8 @@
 pub enum OutgoingBody {
     /// Buffered; `None` once it was handed over, or if it is empty.
     Buffered(Option<Bytes>),
-    /// Passed on as it arrives.
-    Streaming(StreamingBody),
+    /// Passed on as it arrives. Boxed, as each connection to a server has room for many of these.
+    Streaming(Box<StreamingBody>),
 }
 
 /// What an open request holds until its response has ended.
@@ -477,6 +477,11 @@
 }
 
 impl OutgoingBody {
+    /// A body that is passed on as it arrives.
+    pub fn streaming(body: StreamingBody) -> Self {
+        Self::Streaming(Box::new(body))
+    }
+
     /// A buffered body.
     pub fn buffered(body: Bytes) -> Self {
         Self::Buffered(Some(body).filter(|body| !body.is_empty()))
--- a/src/net/capacity.rs
+++ b/src/net/capacity.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::config::Config;
-use super::memory::MemoryBudget;
+use super::memory::{MemoryBudget, PeerKind};
 
 /// How long after its start a process that inherited its listener may have an older one beside it: the older one is
 /// asked to end within 6 s, once this one is ready, and is killed at most 3.7 s later.
@@ -73,7 +73,7 @@
     /// Sets aside memory for the connections that this process may have in its current role. To be called from time to time.
     pub fn expect_connections(&self) {
         let clients = (self.descriptors / CLIENT_DESCRIPTORS_DIVISOR).min(self.max_client_connections());
-        self.memory_budget.expect_connections(clients + self.max_server_connections());
+        self.memory_budget.expect_connections(clients, self.max_server_connections());
     }
 
     /// The current role of this process.
@@ -96,7 +96,7 @@
 
     /// Whether clients may have one more connection beside this many.
     pub fn has_client_room(&self, open: usize) -> bool {
-        open < self.max_client_connections() && self.memory_budget.has_connection_room()
+        open < self.max_client_connections() && self.memory_budget.has_client_connection_room()
     }
 
     /// How many connections clients may have. While an old and a new process of the node overlap, their shares add up
@@ -109,7 +109,7 @@
             ProcessRole::Successor => max * 3 / 4,
             ProcessRole::Predecessor => max / 4,
         };
-        max.min(self.memory_budget.max_client_connections())
+        max.min(self.memory_budget.max_connections(PeerKind::Client))
     }
 
     /// How many connections to servers there may be.
@@ -120,7 +120,7 @@
             ProcessRole::Successor => max / 2,
             ProcessRole::Predecessor => max / 4,
         };
-        max.min(self.memory_budget.max_server_connections())
+        max.min(self.memory_budget.max_connections(PeerKind::Server))
     }
 
     /// How many open requests there is room for at the most: each takes a connection, and memory that bodies leave.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -25,7 +25,7 @@
 use super::head_memory::MAX_HEAD_BYTES;
 use super::incoming::{read_request, ReceivedRequest, Rejection};
 use super::log;
-use super::memory::ConnectionMemory;
+use super::memory::{ConnectionMemory, PeerKind};
 use super::metrics::RequestOutcome;
 use super::node::Node;
 use super::request::{FinalResponse, ForwardedRequest, RequestBody, ServerResponse, TXN};
@@ -338,7 +338,8 @@
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
         let (close, evicted) = (Notify::new(), Cell::new(false));
-        let client = Rc::new(Client { socket, close, evicted, _memory: memory_budget.add_connection() });
+        let memory = memory_budget.add_connection(PeerKind::Client);
+        let client = Rc::new(Client { socket, close, evicted, _memory: memory });
         self.open.borrow_mut().insert(number, client.clone());
         let clients = self.clone();
         tokio::task::spawn_local(async move {
@@ -622,7 +623,7 @@
                 }
                 ReceivedBody::Streaming(mut streaming) => {
                     streaming.hold_request_until_end(hold);
-                    OutgoingBody::Streaming(streaming)
+                    OutgoingBody::streaming(streaming)
                 }
             };
             let mut response = Response::new(body);
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -10,8 +10,10 @@
 use tokio::sync::{Mutex, Notify};
 use tokio::time::timeout_at;
 
-/// What a connection takes by itself once it has been used, in bytes: its task, and the buffers that the HTTP library keeps.
-const CONNECTION_BYTES: usize = 24 * 1024;
+/// What a client's connection takes by itself once it has been used, in bytes: its task, and the HTTP library's buffers.
+const CLIENT_CONNECTION_BYTES: usize = 24 * 1024;
+/// The same of a connection to a server, for which the HTTP library also keeps a queue of requests.
+const SERVER_CONNECTION_BYTES: usize = 32 * 1024;
 /// The parts of the budget, 1 / 16 each, that connections of clients and to servers may take.
 const CLIENT_CONNECTION_PARTS: usize = 9;
 const SERVER_CONNECTION_PARTS: usize = 3;
@@ -79,6 +81,33 @@
     const COUNT: usize = 2;
 }
 
+/// Who is at the other end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerKind {
+    /// A client.
+    Client,
+    /// A server.
+    Server,
+}
+
+impl PeerKind {
+    /// What a connection takes by itself.
+    fn connection_bytes(self) -> usize {
+        match self {
+            Self::Client => CLIENT_CONNECTION_BYTES,
+            Self::Server => SERVER_CONNECTION_BYTES,
+        }
+    }
+
+    /// How many parts of the budget such connections may take.
+    fn connection_parts(self) -> usize {
+        match self {
+            Self::Client => CLIENT_CONNECTION_PARTS,
+            Self::Server => SERVER_CONNECTION_PARTS,
+        }
+    }
+}
+
 /// A budget of memory for this process.
 #[derive(Clone)]
 pub struct MemoryBudget(Arc<BudgetState>);
@@ -86,9 +115,9 @@
 /// Only one thread uses it. Bytes that hold a reservation must be `Send`, and so must this.
 struct BudgetState {
     total: usize,
-    /// How many connections have memory set aside, and how many there are.
-    expected_connections: AtomicUsize,
-    connections: AtomicUsize,
+    /// What is set aside for connections, and what those that are open take.
+    set_aside: AtomicUsize,
+    taken_by_connections: AtomicUsize,
     /// What is reserved. May exceed what may be used since more connections are expected or open.
     reserved: AtomicUsize,
     /// What of that is reserved for each group.
@@ -122,8 +151,8 @@
     pub fn of(bytes: usize) -> Self {
         Self(Arc::new(BudgetState {
             total: bytes,
-            expected_connections: AtomicUsize::new(0),
-            connections: AtomicUsize::new(0),
+            set_aside: AtomicUsize::new(0),
+            taken_by_connections: AtomicUsize::new(0),
             reserved: AtomicUsize::new(0),
             reserved_for_groups: Default::default(),
             released: Notify::new(),
@@ -133,43 +162,36 @@
     }
 
     /// Sets aside the memory of this many connections, whether they are open or not.
-    pub fn expect_connections(&self, connections: usize) {
-        self.0.expected_connections.store(connections, Ordering::Relaxed);
+    pub fn expect_connections(&self, clients: usize, servers: usize) {
+        let set_aside = clients * CLIENT_CONNECTION_BYTES + servers * SERVER_CONNECTION_BYTES;
+        self.0.set_aside.store(set_aside, Ordering::Relaxed);
         self.0.released.notify_waiters();
     }
 
-    /// Whether there is memory for one more connection: set aside, or free.
-    pub fn has_connection_room(&self) -> bool {
-        let connections = self.0.connections.load(Ordering::Relaxed) + 1;
-        connections <= self.0.expected_connections.load(Ordering::Relaxed)
-            || self.0.reserved.load(Ordering::Relaxed) + connections * CONNECTION_BYTES <= self.0.total
-    }
-
-    /// How many connections of clients there may be at the most.
-    pub fn max_client_connections(&self) -> usize {
-        self.connections_within(CLIENT_CONNECTION_PARTS)
-    }
-
-    /// How many connections to servers there may be at the most.
-    pub fn max_server_connections(&self) -> usize {
-        self.connections_within(SERVER_CONNECTION_PARTS)
+    /// Whether there is memory for one more connection of a client: set aside, or free.
+    pub fn has_client_connection_room(&self) -> bool {
+        let taken = self.0.taken_by_connections.load(Ordering::Relaxed) + CLIENT_CONNECTION_BYTES;
+        taken <= self.0.set_aside.load(Ordering::Relaxed)
+            || self.0.reserved.load(Ordering::Relaxed) + taken <= self.0.total
     }
 
-    fn connections_within(&self, parts: usize) -> usize {
-        (self.0.total / CONNECTION_PARTS * parts / CONNECTION_BYTES).max(1)
+    /// How many connections with such peers there may be at the most.
+    pub fn max_connections(&self, peer: PeerKind) -> usize {
+        (self.0.total / CONNECTION_PARTS * peer.connection_parts() / peer.connection_bytes()).max(1)
     }
 
     /// Counts a connection until the result is dropped.
-    pub fn add_connection(&self) -> ConnectionMemory {
-        self.0.connections.fetch_add(1, Ordering::Relaxed);
-        ConnectionMemory(self.clone())
+    pub fn add_connection(&self, peer: PeerKind) -> ConnectionMemory {
+        let bytes = peer.connection_bytes();
+        self.0.taken_by_connections.fetch_add(bytes, Ordering::Relaxed);
+        ConnectionMemory { budget: self.clone(), bytes }
     }
 
     /// What connections leave for all else.
     fn usable(&self) -> usize {
-        let expected = self.0.expected_connections.load(Ordering::Relaxed);
-        let connections = self.0.connections.load(Ordering::Relaxed).max(expected);
-        self.0.total.saturating_sub(connections * CONNECTION_BYTES)
+        let set_aside = self.0.set_aside.load(Ordering::Relaxed);
+        let connections = self.0.taken_by_connections.load(Ordering::Relaxed).max(set_aside);
+        self.0.total.saturating_sub(connections)
     }
 
     /// What is reserved, and of how much, for the log.
@@ -240,12 +262,15 @@
 }
 
 /// The memory of one connection, released when dropped.
-pub struct ConnectionMemory(MemoryBudget);
+pub struct ConnectionMemory {
+    budget: MemoryBudget,
+    bytes: usize,
+}
 
 impl Drop for ConnectionMemory {
     fn drop(&mut self) {
-        let state = &self.0 .0;
-        state.connections.fetch_sub(1, Ordering::Relaxed);
+        let state = &self.budget.0;
+        state.taken_by_connections.fetch_sub(self.bytes, Ordering::Relaxed);
         state.released.notify_waiters();
     }
 }
@@ -385,23 +410,23 @@
     /// The memory of the expected connections is set aside; more are counted as they come, if they find room.
     #[test]
     fn connections_leave_less_for_bodies() {
-        let budget = MemoryBudget::of(4 * CONNECTION_BYTES);
-        let rest = 2 * CONNECTION_BYTES;
-        budget.expect_connections(2);
+        let budget = MemoryBudget::of(4 * CLIENT_CONNECTION_BYTES);
+        let rest = 2 * CLIENT_CONNECTION_BYTES;
+        budget.expect_connections(2, 0);
         assert!(!can_reserve(&budget, rest + 1, ResponseBody));
         assert!(!can_reserve(&budget, rest / 2 + 1, LongRequestBody));
         assert!(!can_reserve(&budget, rest / 4 + 1, LongResponseBody));
-        let two = [budget.add_connection(), budget.add_connection()];
+        let two = [budget.add_connection(PeerKind::Client), budget.add_connection(PeerKind::Client)];
         let body = budget.try_reserve(rest, ResponseBody).expect("room");
-        assert!(!budget.has_connection_room());
+        assert!(!budget.has_client_connection_room());
         drop(body);
-        assert!(budget.has_connection_room());
-        let more = [budget.add_connection(), budget.add_connection()];
-        assert!(!budget.has_connection_room());
+        assert!(budget.has_client_connection_room());
+        let more = [budget.add_connection(PeerKind::Client), budget.add_connection(PeerKind::Client)];
+        assert!(!budget.has_client_connection_room());
         assert!(!can_reserve(&budget, 1, ResponseBody));
         drop((two, more));
         let body = budget.try_reserve(rest, ResponseBody).expect("room");
-        assert!(budget.has_connection_room());
+        assert!(budget.has_client_connection_room());
         drop(body);
         assert!(can_reserve(&budget, rest, ResponseBody) && !can_reserve(&budget, rest + 1, ResponseBody));
     }
@@ -409,10 +434,13 @@
     /// Connections to servers and of clients have room for each other, and leave some of the budget to requests.
     #[test]
     fn connections_never_take_all_of_the_budget() {
-        let budget = MemoryBudget::of(16 * CONNECTION_BYTES);
-        assert_eq!((budget.max_client_connections(), budget.max_server_connections()), (9, 3));
-        let half = MemoryBudget::of(4 * CONNECTION_BYTES);
-        assert_eq!((half.max_client_connections(), half.max_server_connections()), (2, 1));
+        let limits = |bytes| {
+            let budget = MemoryBudget::of(bytes);
+            [PeerKind::Client, PeerKind::Server].map(|peer| budget.max_connections(peer))
+        };
+        assert_eq!(limits(16 * CLIENT_CONNECTION_BYTES), [9, 2]);
+        assert_eq!(limits(16 * SERVER_CONNECTION_BYTES), [12, 3]);
+        assert_eq!(limits(4 * CLIENT_CONNECTION_BYTES), [2, 1]);
     }
 
     /// Heads of requests that wait find room beside those that hold all memory that requests may take, and nobody passes them.
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -16,7 +16,7 @@
 use super::config::Config;
 use super::head_memory::MAX_HEAD_BYTES;
 use super::log;
-use super::memory::{ConnectionMemory, MemoryBudget};
+use super::memory::{ConnectionMemory, MemoryBudget, PeerKind};
 use super::socket::{HyperIo, TrackedSocket};
 
 /// The fraction of the servers' keep-alive time after which a connection is not used any more: one that is written
@@ -159,7 +159,8 @@
         // request's other attempts.
         timeout(self.connect_timeout, wait_for_room).await.map_err(|_| Outcome::NotSent)?;
         self.count.open.set(self.open_connections() + 1);
-        let slot = Slot { count: self.count.clone(), _memory: self.memory_budget.add_connection() };
+        let memory = self.memory_budget.add_connection(PeerKind::Server);
+        let slot = Slot { count: self.count.clone(), _memory: memory };
         let stream = match timeout(self.connect_timeout, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if LOCAL_ERRNOS.contains(&error.raw_os_error().unwrap_or(0)) => {
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -79,7 +79,7 @@
     pub fn outgoing(&self) -> Option<OutgoingBody> {
         match self {
             Self::Buffered(bytes) => Some(OutgoingBody::buffered(bytes.clone())),
-            Self::Streaming { body, .. } => body.take().map(OutgoingBody::Streaming),
+            Self::Streaming { body, .. } => body.take().map(OutgoingBody::streaming),
         }
     }
 
