Refuse a request later whose body is still to come, if there is no room to wait

A request for whose head there is no room was refused after 0.2 s, while its client still wrote; the connection then stays open for the rest of the body, counts as closing, and is the first to make room for new ones.

--- a/src/net/incoming.rs
+++ b/src/net/incoming.rs
@@ -35,6 +35,9 @@
 
 /// The fraction of its time, 1 / n, that a request keeps for its response while it waits for memory.
 const RESPONSE_TIME_DIVISOR: u32 = 16;
+/// How long a request without a body waits for its refusal, if there is no memory for its head: a crowd of such clients would
+/// come again at once.
+const REFUSAL_DELAY: Duration = Duration::from_millis(200);
 /// How long a reset takes that answers a response to a client that has closed.
 const RESET_TIME: Duration = Duration::from_millis(10);
 /// The header with the name of the tenant.
@@ -136,7 +139,10 @@
         let _ = timeout(RESET_TIME, socket.peer_closed()).await;
     }
     let rejection = checked.reject(StatusCode::SERVICE_UNAVAILABLE);
-    let memory = reserve_request(node.capacity.memory_budget(), &mut checked.parts, reserve_until).await;
+    // A client that still sends its body would be reset behind the refusal.
+    let refusal_delay = if rejection.close { remaining / 2 } else { REFUSAL_DELAY };
+    let budget = node.capacity.memory_budget();
+    let memory = reserve_request(budget, &mut checked.parts, reserve_until, refusal_delay).await;
     let memory = memory.map_err(|OutOfMemory| rejection)?;
     // Boxed, so that a request that waits takes little.
     Box::pin(async move {
--- a/src/net/request_memory.rs
+++ b/src/net/request_memory.rs
@@ -21,18 +21,16 @@
 const FIELD_TEXT_BYTES: usize = 96;
 /// The memory of a request that waits, besides its head, in bytes: its place in the queue, and the map's table.
 const WAITING_BYTES: usize = 1024;
-/// How long a request waits for its refusal for whose head there is no memory.
-const REFUSAL_DELAY: Duration = Duration::from_millis(200);
 
 /// Reserves the memory of a request with this head, in turn with others, until `deadline`. The head is counted meanwhile.
 ///
 /// # Errors
-/// [`OutOfMemory`] if there is none in time, or none for a head that waits. The latter is told after [`REFUSAL_DELAY`]: a
-/// crowd of such clients would come again at once.
+/// [`OutOfMemory`] if there is none in time, or none for a head that waits. The latter is told after `refusal_delay`.
 pub async fn reserve_request(
     budget: &MemoryBudget,
     parts: &mut Parts,
     deadline: Instant,
+    refusal_delay: Duration,
 ) -> Result<Reservation, OutOfMemory> {
     let needed = request_bytes(parts);
     if let Ok(memory) = budget.try_reserve_in_turn(needed, Purpose::Request) {
@@ -42,7 +40,7 @@
     let Ok(_waiting) = budget.try_reserve(waiting_bytes(parts), Purpose::WaitingHead) else {
         log_refusal(parts, "no memory for its head", budget);
         parts.headers = HeaderMap::new();
-        sleep_until(deadline.min(Instant::now() + REFUSAL_DELAY).into()).await;
+        sleep_until(deadline.min(Instant::now() + refusal_delay).into()).await;
         return Err(OutOfMemory);
     };
     let reserved = budget.reserve(needed, Purpose::Request, deadline).await;
@@ -88,6 +86,8 @@
 
     use super::*;
 
+    const DELAY: Duration = Duration::from_millis(20);
+
     fn head(fields: usize) -> Parts {
         let mut request = Request::builder().uri("/look/7?q=1");
         for field in 0..fields {
@@ -122,9 +122,9 @@
             let held = budget.try_reserve(3 * waiting_bytes(&long), Purpose::RequestBody).expect("room");
             let _rest = budget.try_reserve(waiting_bytes(&short), Purpose::ResponseBody).expect("room");
             let started = Instant::now();
-            let refused = reserve_request(&budget, &mut long, started + 100 * REFUSAL_DELAY).await;
-            assert!(refused.is_err() && long.headers.is_empty() && started.elapsed() >= REFUSAL_DELAY);
-            let waiting = reserve_request(&budget, &mut short, started + 100 * REFUSAL_DELAY);
+            let refused = reserve_request(&budget, &mut long, started + 1000 * DELAY, DELAY).await;
+            assert!(refused.is_err() && long.headers.is_empty() && started.elapsed() >= DELAY);
+            let waiting = reserve_request(&budget, &mut short, started + 1000 * DELAY, DELAY);
             let (granted, ()) = tokio::join!(waiting, async move { drop(held) });
             assert!(granted.is_ok() && !short.headers.is_empty());
         });
