End the delay of a refusal when all waits for memory end

Near the end of a process all waits for memory end with a refusal, but this delay did not, so that SIGKILL could find the request unanswered. a_refusal_is_not_delayed_once_waits_have_ended fails (after 20 s) if the end of the waits is not told.

--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -125,8 +125,9 @@
     released: Notify,
     /// Those who wait for memory, in the order in which they came: the first of each purpose waits for `released`.
     queues: [Mutex<()>; Purpose::COUNT],
-    /// Whether nobody may wait any more.
+    /// Whether nobody may wait any more, and a notification of that.
     closed: AtomicBool,
+    waits_ended: Notify,
 }
 
 /// No memory was released in time.
@@ -158,6 +159,7 @@
             released: Notify::new(),
             queues: Default::default(),
             closed: AtomicBool::new(false),
+            waits_ended: Notify::new(),
         }))
     }
 
@@ -258,6 +260,15 @@
     pub fn end_waits(&self) {
         self.0.closed.store(true, Ordering::Relaxed);
         self.0.released.notify_waiters();
+        self.0.waits_ended.notify_waiters();
+    }
+
+    /// Waits until `deadline`, or until all waits for memory end.
+    pub async fn pause_until(&self, deadline: Instant) {
+        let ended = self.0.waits_ended.notified();
+        if !self.0.closed.load(Ordering::Relaxed) {
+            let _ = timeout_at(deadline.into(), ended).await;
+        }
     }
 }
 
--- a/src/net/request_memory.rs
+++ b/src/net/request_memory.rs
@@ -5,7 +5,6 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::HeaderMap;
-use tokio::time::sleep_until;
 
 use super::log;
 use super::memory::{MemoryBudget, OutOfMemory, Purpose, Reservation};
@@ -40,7 +39,7 @@
     let Ok(_waiting) = budget.try_reserve(waiting_bytes(parts), Purpose::WaitingHead) else {
         log_refusal(parts, "no memory for its head", budget);
         parts.headers = HeaderMap::new();
-        sleep_until(deadline.min(Instant::now() + refusal_delay).into()).await;
+        budget.pause_until(deadline.min(Instant::now() + refusal_delay)).await;
         return Err(OutOfMemory);
     };
     let reserved = budget.reserve(needed, Purpose::Request, deadline).await;
@@ -112,6 +111,23 @@
         assert!(request_bytes(&many) - REQUEST_BYTES >= 90 * HEAD_COPIES * FIELD_PLACE_BYTES);
     }
 
+    /// Guards against a request that waits for its refusal until the process is killed.
+    #[test]
+    fn a_refusal_is_not_delayed_once_waits_have_ended() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let budget = MemoryBudget::of(1000);
+            let started = Instant::now();
+            for _ in 0..2 {
+                let mut head = head(4);
+                let deadline = started + 1000 * DELAY;
+                let refused = reserve_request(&budget, &mut head, deadline, 1000 * DELAY);
+                let (refused, ()) = tokio::join!(refused, async { budget.end_waits() });
+                assert!(refused.is_err() && Instant::now() < deadline);
+            }
+        });
+    }
+
     /// A request waits for memory with its head counted, and is refused if there is none for that.
     #[test]
     fn a_request_waits_only_if_there_is_memory_for_its_head() {
