--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -278,7 +278,7 @@
     Connection,
     /// The response is malformed.
     Malformed,
-    /// The memory budget had no room to stream it.
+    /// The memory budget had no room for its head.
     NoMemory,
     /// The attempt's time was over before the response, or the end of a short one.
     TimedOut,
